--- /dev/null
+++ b/source/base/job.h
@@ -0,0 +1,62 @@
+// A job as it travels from the caller to its home.
+#pragma once
+
+#include "base/coretime.h"
+#include "base/strongid.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Bluebellquay {
+
+// How urgent the branch rules say a kind of request is. Smaller numbers go first.
+enum class Urgency : std::uint8_t {
+    Urgent = 0,
+    Normal = 1,
+    Background = 2,
+};
+constexpr std::size_t UrgencyClasses = 3;
+
+// What one task of a job needs from the worker; zero means "not declared".
+struct ResourceNeed
+{
+    std::uint32_t milliProcessors = 0;
+    std::uint64_t memoryBytes = 0;
+    std::uint32_t accelerators = 0;
+
+    friend bool operator==(const ResourceNeed &, const ResourceNeed &) = default;
+};
+
+struct TaskSpec
+{
+    std::string payload;
+    // As declared by the caller, often far off; zero if not declared.
+    Duration declaredRunTime{0};
+
+    friend bool operator==(const TaskSpec &, const TaskSpec &) = default;
+};
+
+// A single request is a job of one task.
+struct Job
+{
+    std::string branch;
+    std::string customer;
+    std::string team;
+    std::string kind;
+    ResourceNeed need;
+    // Set if the exceptions of the branch ask for urgent treatment and the rule of the kind allows
+    // it.
+    bool raised = false;
+    // Never empty in a valid job.
+    std::vector<TaskSpec> tasks;
+
+    friend bool operator==(const Job &, const Job &) = default;
+};
+
+// 128-bit digest of a job's whole content, kept with the id so that another body is recognised.
+using JobDigest = std::array<std::uint64_t, 2>;
+JobDigest digestOf(const Job &job);
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/agentcore.h
@@ -0,0 +1,96 @@
+// All decisions of one agent: home of submissions (HomeCore) and executor of tasks (ExecutorCore).
+// No I/O and no clock: the process around it hands in messages and time and carries out the Outbox.
+#pragma once
+
+#include "base/messages.h"
+#include "config/ruleset.h"
+#include "core/outbox.h"
+
+#include <boost/leaf.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Bluebellquay {
+
+class HomeCore;
+class ExecutorCore;
+class CoreStatistics;
+
+struct AgentCoreSettings
+{
+    ProcessInfo self;
+    Duration issuePeriod{10'000'000};
+    std::uint32_t acceptedPeriods = 12;
+    std::uint32_t maxRecords = 200'000;
+    Duration lostTimeout{10'000'000};
+    // Seed of the random choices (jitter, sampling).
+    std::uint64_t seed = 0;
+};
+
+// What the upstream announced.
+struct UpstreamCapacity
+{
+    std::uint64_t incarnation = 0;
+    std::uint32_t slots = 0;
+    std::uint32_t connections = 0;
+    std::uint32_t milliProcessors = 0;
+    std::uint64_t memoryBytes = 0;
+    std::uint32_t accelerators = 0;
+    std::uint32_t usedMilliProcessors = 0;
+    std::uint64_t usedMemoryBytes = 0;
+};
+
+class AgentCore
+{
+public:
+    // Fails with std::string if a setting is out of range.
+    static boost::leaf::result<std::unique_ptr<AgentCore>> create(AgentCoreSettings settings,
+                                                                  TimePoint now);
+    ~AgentCore();
+
+    // A message of a peer. Messages to the agent itself never leave the core.
+    void handle(TimePoint now, Incarnation from, Message message, Outbox &out);
+    // Does what is due; nextWakeup() says when to call it again at the latest.
+    void advance(TimePoint now, Outbox &out);
+    std::optional<TimePoint> nextWakeup() const;
+
+    void peerUp(TimePoint now, const ProcessInfo &peer, Outbox &out);
+    void peerDown(TimePoint now, Incarnation peer, Outbox &out);
+
+    void upstreamAnnounced(TimePoint now, const UpstreamCapacity &capacity, Outbox &out);
+    // The upstream leaves: no task is started any more; running ones finish.
+    void upstreamLeaving(TimePoint now, Outbox &out);
+    // Announcements have stopped. Running tasks may still finish.
+    void upstreamSilent(TimePoint now, Outbox &out);
+    // End of a StartTask. A task that surely never reached the upstream is reported by
+    // taskNotStarted, one of which nothing is known by taskLost.
+    void taskFinished(TimePoint now, const TaskKey &task, TaskOutcome outcome, Outbox &out);
+    void taskNotStarted(TimePoint now, const TaskKey &task, Outbox &out);
+    void taskLost(TimePoint now, const TaskKey &task, Outbox &out);
+
+    void setRules(TimePoint now, ConfigVersion version, std::shared_ptr<const RuleSet> rules,
+                  Outbox &out);
+
+    // Planned stop: as upstreamLeaving(), then answers what this agent is home of and hands over.
+    void beginStop(TimePoint now, Outbox &out);
+    // Everything is answered and handed over, or there is nobody to hand over to: the process may
+    // exit.
+    bool stopped() const;
+
+    // Heartbeat fields except sequence.
+    Heartbeat heartbeat(TimePoint now) const;
+    AgentState state() const;
+    const CoreStatistics &statistics() const;
+
+private:
+    explicit AgentCore(AgentCoreSettings settings, TimePoint now);
+
+    std::unique_ptr<CoreStatistics> m_statistics;
+    std::unique_ptr<HomeCore> m_home;
+    std::unique_ptr<ExecutorCore> m_executor;
+};
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/net/peernode.h
@@ -0,0 +1,81 @@
+// The links of this process to its peers: dials, accepts, says hello, sends heartbeats, notices
+// silence, batches messages and hands whole typed messages up. Uses websocketpp, which no other
+// file includes.
+#pragma once
+
+#include "base/messages.h"
+#include "kernel/metrics.h"
+#include "kernel/timerservice.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/leaf.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Bluebellquay {
+
+struct PeerNodeSettings
+{
+    // Where peers reach this process.
+    boost::asio::ip::tcp::endpoint endpoint;
+    // Shared by all processes of the system; sent as bearer token in the upgrade request.
+    std::string secret;
+    Duration heartbeatInterval{500'000};
+    // A link that has been silent for this long is abandoned.
+    Duration silenceTimeout{2'000'000};
+    Duration minRedialDelay{100'000};
+    Duration maxRedialDelay{2'000'000};
+    std::size_t maxFrameBytes = 8UL << 20;
+    // A link whose unsent bytes exceed this is abandoned: its peer does not read.
+    std::size_t maxUnsentBytes = 64UL << 20;
+};
+
+// Called on the thread of the io_context.
+struct PeerHandlers
+{
+    // A link to this process is up. Called again for each new link to the same incarnation, after
+    // which everything unanswered is to be sent again.
+    std::function<void(const ProcessInfo &peer)> up;
+    // The last link to this process is down. Nothing is known about what it received.
+    std::function<void(Incarnation peer)> down;
+    // Every message but Hello. Heartbeats are handed up, too.
+    std::function<void(Incarnation from, Message message)> received;
+    // Supplies the heartbeat to send.
+    std::function<Heartbeat()> heartbeat;
+};
+
+class PeerNode
+{
+public:
+    static boost::leaf::result<std::unique_ptr<PeerNode>>
+    create(boost::asio::io_context &context, TimerService &timers, Metrics &metrics,
+           PeerNodeSettings settings, ProcessInfo self, PeerHandlers handlers);
+    ~PeerNode();
+
+    // Keeps a link to this address (host:port) until forget(). Idempotent.
+    void dial(const std::string &address);
+    void forget(const std::string &address);
+
+    // Queues the message; all messages of one turn of the event loop to one peer go in one frame.
+    // Returns false, and counts it, if there is no link: the message is dropped then.
+    bool send(Incarnation to, const Message &message);
+    // Sends a heartbeat on every link now, for a change of state that peers should know at once.
+    void sendHeartbeats();
+
+    bool connected(Incarnation peer) const;
+    unsigned short port() const;
+
+    // Closes all links after what is queued has been sent, then calls back.
+    void stop(std::function<void()> stopped);
+
+private:
+    class Links;
+    explicit PeerNode(std::shared_ptr<Links> links);
+
+    std::shared_ptr<Links> m_links;
+};
+
+} // namespace Bluebellquay
