--- /dev/null
+++ b/source/config/networkaddress.h
@@ -0,0 +1,17 @@
+// Text form of addresses in settings: IP number and port, "127.0.0.1:7000" or "[::1]:7000".
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Bluebellquay {
+
+// Returns nothing for a host name, a missing port or a port above 65535. Port 0 is accepted.
+std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
+
+std::string toString(const boost::asio::ip::tcp::endpoint &endpoint);
+
+} // namespace Bluebellquay
