--- a/source/net/connectclient.h
+++ b/source/net/connectclient.h
@@ -28,6 +28,14 @@
     std::string bearerSecret;
 };
 
+// Reported by ConnectClient::create() when the address is not an IP number and a port.
+struct AddressError
+{
+    std::string address;
+};
+
+class ConnectPool;
+
 class ConnectClient
 {
 public:
@@ -57,15 +65,14 @@
     }
 
 private:
-    class Pool;
     using RawDone = std::function<void(const google::protobuf::Message *, const ConnectError &)>;
 
-    explicit ConnectClient(std::shared_ptr<Pool> pool);
+    explicit ConnectClient(std::shared_ptr<ConnectPool> pool);
     void callRaw(std::string_view method, const google::protobuf::Message &request,
                  Duration timeout, std::unique_ptr<google::protobuf::Message> response,
                  RawDone done);
 
-    std::shared_ptr<Pool> m_pool;
+    std::shared_ptr<ConnectPool> m_pool;
 };
 
 } // namespace Bluebellquay
--- a/source/net/connecterror.h
+++ b/source/net/connecterror.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,4 +40,10 @@
 // HTTP status that the protocol assigns to the code.
 unsigned httpStatus(ConnectCode code);
 
+// Returns nothing unless the name is a published one.
+std::optional<ConnectCode> parseConnectCode(std::string_view name);
+
+// Code that the protocol assigns to an error response without a readable error body.
+ConnectCode connectCodeOfStatus(unsigned status);
+
 } // namespace Bluebellquay
--- a/source/net/connectserver.h
+++ b/source/net/connectserver.h
@@ -34,6 +34,13 @@
     std::optional<std::string> bearerSecret;
 };
 
+// Reported by ConnectServer::create() when the endpoint can't be listened on.
+struct ListenError
+{
+    std::string endpoint;
+    std::string reason;
+};
+
 // What a handler learns about a call besides its message.
 struct CallContext
 {
@@ -53,7 +60,9 @@
 };
 
 // All handlers run on the thread of the io_context. A handler's completion may be called at once or
-// later, once; it is ignored if the connection is gone by then.
+// later, once; it is ignored if the connection is gone by then. A completion that is destroyed
+// without being called answers the call with internal. The server sets no timer for
+// CallContext::timeout: only the handler knows what a caller must be told when time runs out.
 class ConnectServer
 {
 public:
