Implement the decision core of an agent

Cause: the agent daemon needs a core to be written against. Change: AgentCore with HomeCore (submissions, answers, bindings, handover) and ExecutorCore (reservations, pulls, starts, results), split into small classes. agentcore.h gains memory() and the struct CoreMemory; no existing call changes. A Pull of zero tasks declines an offer that the upstream can never hold. Faults and policy are not yet tested.

--- /dev/null
+++ b/source/core/ackbatch.cpp
@@ -0,0 +1,58 @@
+#include "core/ackbatch.h"
+
+#include "core/timerheap.h"
+
+namespace Bluebellquay {
+
+namespace {
+
+// Agents repeat a result after a much longer time.
+constexpr Duration AckDelay{20'000};
+constexpr std::size_t MaxKeys = 256;
+
+} // namespace
+
+void AckBatch::add(TimePoint now, Incarnation agent, const TaskKey &key)
+{
+    Owed &owed = m_owed[agent];
+    if (owed.keys.empty())
+        owed.due = now + AckDelay;
+    owed.keys.push_back(key);
+    if (owed.keys.size() >= MaxKeys)
+        owed.due = now;
+}
+
+void AckBatch::flush(TimePoint now, Outbox &out)
+{
+    if (m_owed.empty())
+        return;
+    const std::size_t present = out.messages.size();
+    for (std::size_t i = 0; i < present; ++i)
+        flushTo(out.messages[i].to, out);
+    for (auto position = m_owed.begin(); position != m_owed.end();) {
+        const Incarnation agent = position->first;
+        const bool due = position->second.due <= now;
+        ++position;
+        if (due)
+            flushTo(agent, out);
+    }
+}
+
+void AckBatch::flushTo(Incarnation agent, Outbox &out)
+{
+    const auto position = m_owed.find(agent);
+    if (position == m_owed.end())
+        return;
+    out.send(agent, ResultAck{std::move(position->second.keys)});
+    m_owed.erase(position);
+}
+
+std::optional<TimePoint> AckBatch::nextWakeup() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[agent, owed] : m_owed)
+        next = earliest(next, owed.due);
+    return next;
+}
+
+} // namespace Bluebellquay
--- a/source/core/agentcore.h
+++ b/source/core/agentcore.h
@@ -5,6 +5,7 @@
 #include "base/messages.h"
 #include "config/ruleset.h"
 #include "core/outbox.h"
+#include "core/timerheap.h"
 
 #include <boost/leaf.hpp>
 
@@ -18,6 +19,7 @@
 class HomeCore;
 class ExecutorCore;
 class CoreStatistics;
+class PeerTable;
 
 struct AgentCoreSettings
 {
@@ -43,6 +45,20 @@
     std::uint64_t usedMemoryBytes = 0;
 };
 
+// Sizes of the containers of an agent. All but peers fall to zero when the periods have passed and
+// nothing new is submitted.
+struct CoreMemory
+{
+    std::size_t records = 0;
+    std::size_t activeSubmissions = 0;
+    std::size_t waiters = 0;
+    std::size_t reservations = 0;
+    std::size_t outstandingPulls = 0;
+    std::size_t ledgerEntries = 0;
+    std::size_t adoptedHomes = 0;
+    std::size_t peers = 0;
+};
+
 class AgentCore
 {
 public:
@@ -84,13 +100,42 @@
     Heartbeat heartbeat(TimePoint now) const;
     AgentState state() const;
     const CoreStatistics &statistics() const;
+    // What is held in memory, for metrics and tests.
+    CoreMemory memory() const;
 
 private:
+    // What to do about a peer that has been disconnected for some time.
+    enum class Absence : std::uint8_t { GiveUpBindings, ForgetPeer };
+    struct AbsenceTimer
+    {
+        Incarnation peer;
+        Absence action;
+    };
+
     explicit AgentCore(AgentCoreSettings settings, TimePoint now);
 
+    void begin(TimePoint now);
+    void dispatch(TimePoint now, Incarnation from, Message message);
+    void connect(TimePoint now, const ProcessInfo &peer);
+    void disconnect(TimePoint now, Incarnation peer);
+    void absenceDue(TimePoint now, const AbsenceTimer &timer);
+    void drain(Incarnation from, const Drain &message);
+    // Handles the messages to the agent itself, then moves the effects of the call to the outbox.
+    void settle(TimePoint now, Outbox &out);
+    void deliverLocal(TimePoint now);
+    void syncExecutor();
+
+    AgentCoreSettings m_settings;
     std::unique_ptr<CoreStatistics> m_statistics;
+    std::unique_ptr<PeerTable> m_peers;
     std::unique_ptr<HomeCore> m_home;
     std::unique_ptr<ExecutorCore> m_executor;
+    TimerHeap<AbsenceTimer> m_absences;
+    // Effects of the call in progress; empty between calls.
+    Outbox m_pending;
+    ConfigVersion m_configVersion;
+    TimePoint m_lastCall{};
+    bool m_stopping = false;
 };
 
 } // namespace Bluebellquay
--- /dev/null
+++ b/source/core/handoverdesk.h
@@ -0,0 +1,66 @@
+// Planned stop of a home: sends its final answers to a successor; and the successor's side, which
+// answers for the homes it has taken over.
+#pragma once
+
+#include "core/homestate.h"
+#include "core/outbox.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Bluebellquay {
+
+class HandoverDesk
+{
+public:
+    explicit HandoverDesk(HomeState &state)
+        : m_state(state)
+    { }
+
+    // The sending side. No record may be made or changed after the first call.
+    void proceed(TimePoint now, Outbox &out);
+    void acknowledged(Incarnation from, const HandoverAck &message, Outbox &out);
+    bool begun() const { return m_begun; }
+    bool done() const { return m_done; }
+    std::optional<TimePoint> nextWakeup() const;
+
+    // The receiving side.
+    void adopt(Incarnation from, const Handover &message, Outbox &out);
+    // True if all records of this home have arrived here.
+    bool answersFor(Incarnation home) const;
+    // Forgets homes whose records are no longer kept.
+    void expire();
+    std::size_t adoptedHomes() const { return m_adopted.size(); }
+
+private:
+    struct Adoption
+    {
+        std::set<std::uint32_t> parts;
+        // Number of the last part; known when that part has arrived.
+        std::optional<std::uint32_t> last;
+        IssuePeriod keepUntil;
+    };
+
+    void prepare();
+    bool chooseSuccessor(TimePoint now);
+    void finish(Outbox &out);
+
+    HomeState &m_state;
+    std::map<Incarnation, Adoption> m_adopted;
+
+    bool m_begun = false;
+    bool m_done = false;
+    TimePoint m_begunAt{};
+    std::optional<Incarnation> m_successor;
+    // Agents that did not acknowledge in time.
+    std::set<Incarnation> m_unresponsive;
+    std::vector<Handover> m_parts;
+    // Positions in m_parts that the successor has not acknowledged.
+    std::set<std::size_t> m_unacknowledged;
+    std::uint32_t m_sendings = 0;
+    TimePoint m_nextSending{};
+};
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/homecore.h
@@ -0,0 +1,84 @@
+// Home of submissions: remembers each submission whose id names this agent, has its tasks run by
+// agents, and gives the one final answer. docs/design.md, section 2, states the invariants H1 to
+// H5.
+#pragma once
+
+#include "core/admissioncontrol.h"
+#include "core/answerdesk.h"
+#include "core/handoverdesk.h"
+#include "core/homestate.h"
+#include "core/offerdesk.h"
+#include "core/runtimeestimates.h"
+#include "core/taskdesk.h"
+
+namespace Bluebellquay {
+
+class HomeCore
+{
+public:
+    HomeCore(const AgentCoreSettings &settings, CoreStatistics &statistics, PeerTable &peers,
+             TimePoint now);
+
+    // Calls of entries.
+    void handle(TimePoint now, Incarnation from, Submit message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, const Await &message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, const StopWaiting &message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, const Cancel &message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, const Refuse &message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, const Query &message, Outbox &out);
+    // Messages of agents.
+    void handle(TimePoint now, Incarnation from, const Pull &message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, TaskResult message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, const TaskState &message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, const Handover &message, Outbox &out);
+    void handle(TimePoint now, Incarnation from, const HandoverAck &message, Outbox &out);
+
+    void agentUp(TimePoint now, Incarnation agent, Outbox &out);
+    void agentDown(Incarnation agent);
+    void agentLost(TimePoint now, Incarnation agent, Outbox &out);
+    // An agent, possibly this one, started to serve.
+    void agentServes(TimePoint now, Incarnation agent, Outbox &out);
+    void entryDown(Incarnation entry);
+
+    void setRules(std::shared_ptr<const RuleSet> rules) { m_state.rules = std::move(rules); }
+    // Whether the executor of this agent takes new tasks, and how loaded it is.
+    void setExecutor(bool serves, const AgentLoad &load);
+    // No new submission is accepted; what is in progress is finished.
+    void beginStop() { m_state.stopping = true; }
+    // Hands over when everything is answered; called while stopping.
+    void continueStop(TimePoint now, Outbox &out);
+    bool stopped() const;
+
+    bool sendOffers(TimePoint now, Outbox &out) { return m_offers.sendRequested(now, out); }
+    void flush(TimePoint now, Outbox &out) { m_tasks.flush(now, out); }
+    // Moves the issue window and drops expired records; called before anything else of a call.
+    void advanceWindow(TimePoint now);
+    void advance(TimePoint now, Outbox &out);
+    std::optional<TimePoint> nextWakeup() const;
+
+    IssuePeriod issuePeriod() const { return m_state.window.current(); }
+    std::size_t records() const { return m_state.records.size(); }
+    std::size_t activeSubmissions() const { return m_state.records.active().size(); }
+    std::size_t adoptedHomes() const { return m_handover.adoptedHomes(); }
+    std::size_t waiters() const { return m_answers.waiters(); }
+
+private:
+    // True if a call for this id is answered here; otherwise it has been replied to.
+    bool isHomeOf(const Waiter &caller, const SubmissionId &id, Outbox &out);
+    // Replies for an id without a record. Returns true if the id may get a record now.
+    bool mayOpen(const Waiter &caller, const SubmissionId &id, Outbox &out);
+    void firstSight(TimePoint now, const Waiter &caller, Submit message, const JobDigest &digest,
+                    Outbox &out);
+    void refuse(const Waiter &caller, const SubmissionId &id, Answer answer,
+                const std::optional<JobDigest> &digest, Outbox &out);
+
+    HomeState m_state;
+    RunTimeEstimates m_estimates;
+    AnswerDesk m_answers;
+    OfferDesk m_offers;
+    AdmissionControl m_admission;
+    TaskDesk m_tasks;
+    HandoverDesk m_handover;
+};
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/taskbindings.cpp
@@ -0,0 +1,136 @@
+#include "core/taskbindings.h"
+
+#include <algorithm>
+
+namespace Bluebellquay {
+
+TaskBindings::TaskBindings(std::uint32_t tasks)
+    : m_slots(tasks)
+    , m_outputs(tasks)
+{
+    m_unbound.reserve(tasks);
+    for (std::uint32_t i = tasks; i > 0; --i)
+        m_unbound.push_back(i - 1);
+}
+
+const TaskBindings::PullAnswer &TaskBindings::bind(Incarnation agent, PullNumber pull,
+                                                   std::uint32_t max)
+{
+    if (const PullAnswer *stored = findAnswer(agent, pull))
+        return *stored;
+    PullAnswer answer{agent, pull, {}, 0};
+    while (answer.tasks.size() < max && !m_unbound.empty()) {
+        const std::uint32_t index = m_unbound.back();
+        m_unbound.pop_back();
+        Slot &slot = m_slots[index];
+        slot.agent = agent;
+        ++slot.attempt;
+        slot.phase = Phase::Bound;
+        ++m_bound;
+        answer.tasks.push_back({TaskIndex(index), TaskAttempt(slot.attempt)});
+    }
+    answer.remaining = unbound();
+    m_answers.push_back(std::move(answer));
+    return m_answers.back();
+}
+
+const TaskBindings::PullAnswer *TaskBindings::findAnswer(Incarnation agent, PullNumber pull) const
+{
+    // A repeated pull asks for a recent answer.
+    const auto position =
+        std::find_if(m_answers.rbegin(), m_answers.rend(), [&](const PullAnswer &answer) {
+            return answer.pull == pull && answer.agent == agent;
+        });
+    return position == m_answers.rend() ? nullptr : &*position;
+}
+
+bool TaskBindings::isBound(const TaskKey &key, Incarnation agent) const
+{
+    if (key.index.value() >= m_slots.size())
+        return false;
+    const Slot &slot = m_slots[key.index.value()];
+    return slot.phase == Phase::Bound && slot.agent == agent && slot.attempt == key.attempt.value();
+}
+
+bool TaskBindings::awaitsResult(const TaskKey &key) const
+{
+    if (key.index.value() >= m_slots.size())
+        return false;
+    const Slot &slot = m_slots[key.index.value()];
+    return slot.phase != Phase::Succeeded && key.attempt.value() > 0
+        && key.attempt.value() <= slot.attempt;
+}
+
+void TaskBindings::release(TaskIndex index)
+{
+    Slot &slot = m_slots[index.value()];
+    slot.phase = Phase::Unbound;
+    --m_bound;
+    m_unbound.push_back(index.value());
+}
+
+void TaskBindings::giveUpAttempt(TaskIndex index)
+{
+    Slot &slot = m_slots[index.value()];
+    slot.phase = Phase::GivenUp;
+    ++slot.spent;
+    --m_bound;
+    ++m_spent;
+}
+
+void TaskBindings::requeue(TaskIndex index)
+{
+    Slot &slot = m_slots[index.value()];
+    if (slot.phase != Phase::GivenUp)
+        return;
+    slot.phase = Phase::Unbound;
+    m_unbound.push_back(index.value());
+}
+
+void TaskBindings::succeed(TaskIndex index, std::string output)
+{
+    Slot &slot = m_slots[index.value()];
+    if (slot.phase == Phase::Succeeded)
+        return;
+    if (slot.phase == Phase::Bound)
+        --m_bound;
+    if (slot.phase == Phase::Unbound)
+        std::erase(m_unbound, index.value());
+    slot.phase = Phase::Succeeded;
+    ++m_succeeded;
+    m_outputs[index.value()] = std::move(output);
+}
+
+std::uint32_t TaskBindings::spentAttempts(TaskIndex index) const
+{
+    return m_slots[index.value()].spent;
+}
+
+std::vector<TaskKey> TaskBindings::boundTo(Incarnation agent, const SubmissionId &id) const
+{
+    std::vector<TaskKey> keys;
+    for (std::uint32_t i = 0; i < m_slots.size(); ++i) {
+        if (m_slots[i].phase == Phase::Bound && m_slots[i].agent == agent)
+            keys.push_back(TaskKey{id, TaskIndex(i), TaskAttempt(m_slots[i].attempt)});
+    }
+    return keys;
+}
+
+std::vector<Incarnation> TaskBindings::boundAgents() const
+{
+    std::vector<Incarnation> agents;
+    for (const Slot &slot : m_slots) {
+        if (slot.phase == Phase::Bound)
+            agents.push_back(slot.agent);
+    }
+    std::sort(agents.begin(), agents.end());
+    agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
+    return agents;
+}
+
+std::vector<std::string> TaskBindings::takeOutputs()
+{
+    return std::move(m_outputs);
+}
+
+} // namespace Bluebellquay
