Let a Connect client choose JSON

Cause: the platform's table service speaks the Connect protocol with JSON bodies. Change: ConnectClientSettings::encoding, Proto as before by default.

--- a/source/net/clientconnection.cpp
+++ b/source/net/clientconnection.cpp
@@ -151,9 +151,12 @@
         return;
     }
     // A broken answer says nothing about what the server did, so its code is unknown.
-    if (connectEncodingOf(response[http::field::content_type]) != ConnectEncoding::Proto)
-        pool->finish(call, nullptr, {ConnectCode::Unknown, "the answer is not application/proto"});
-    else if (decodeConnectBody(response.body(), ConnectEncoding::Proto, *call->response))
+    const ConnectEncoding encoding = pool->encoding();
+    if (connectEncodingOf(response[http::field::content_type]) != encoding)
+        pool->finish(
+            call, nullptr,
+            {ConnectCode::Unknown, "the answer is not " + std::string(mediaType(encoding))});
+    else if (decodeConnectBody(response.body(), encoding, *call->response))
         pool->finish(call, nullptr, {ConnectCode::Unknown, "the answer can't be decoded"});
     else
         pool->finish(call, call->response.get(), {});
--- a/source/net/connectclient.h
+++ b/source/net/connectclient.h
@@ -3,6 +3,7 @@
 
 #include "base/coretime.h"
 #include "net/connecterror.h"
+#include "net/connectmessage.h"
 #include "net/connectserver.h"
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,7 @@
     std::size_t maxBodyBytes = 8UL << 20;
     // Sent as bearer token if not empty.
     std::string bearerSecret;
+    ConnectEncoding encoding = ConnectEncoding::Proto;
 };
 
 // Reported by ConnectClient::create() when the address is not an IP number and a port.
--- a/source/net/connectpool.cpp
+++ b/source/net/connectpool.cpp
@@ -21,8 +21,8 @@
     , m_timer(context)
 {
     m_headEnd = " HTTP/1.1\r\nHost: " + m_settings.address
-        + "\r\nUser-Agent: bluebellquay\r\nContent-Type: application/proto\r\n"
-          "Connect-Protocol-Version: 1\r\n";
+        + "\r\nUser-Agent: bluebellquay\r\nContent-Type: "
+        + std::string(mediaType(m_settings.encoding)) + "\r\nConnect-Protocol-Version: 1\r\n";
     if (!m_settings.bearerSecret.empty())
         m_headEnd += "Authorization: Bearer " + m_settings.bearerSecret + "\r\n";
 }
@@ -30,7 +30,11 @@
 std::string ConnectPool::encode(std::string_view method, const google::protobuf::Message &request,
                                 Duration timeout) const
 {
-    const std::size_t size = request.ByteSizeLong();
+    std::string json;
+    if (m_settings.encoding == ConnectEncoding::Json)
+        appendConnectBody(request, ConnectEncoding::Json, json);
+    const std::size_t size =
+        m_settings.encoding == ConnectEncoding::Json ? json.size() : request.ByteSizeLong();
     const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(timeout).count();
     std::string out;
     out.reserve(m_headEnd.size() + method.size() + size + 96);
@@ -42,6 +46,8 @@
     out += "\r\nContent-Length: ";
     out += std::to_string(size);
     out += "\r\n\r\n";
+    if (m_settings.encoding == ConnectEncoding::Json)
+        return out += json;
     const std::size_t head = out.size();
     out.resize(head + size);
     request.SerializeWithCachedSizesToArray(reinterpret_cast<std::uint8_t *>(out.data() + head));
--- a/source/net/connectpool.h
+++ b/source/net/connectpool.h
@@ -57,6 +57,7 @@
     boost::asio::io_context &context() const { return m_context; }
     const boost::asio::ip::tcp::endpoint &endpoint() const { return m_endpoint; }
     std::size_t maxBodyBytes() const { return m_settings.maxBodyBytes; }
+    ConnectEncoding encoding() const { return m_settings.encoding; }
 
 private:
     using Deadlines = std::multimap<Clock::time_point, std::shared_ptr<ClientCall>>;
