Name the service of an entry's calls

Cause: parts of the entry daemon find the open calls by name. Change: ServiceNames::Calls. Result: no other code changes. Conclusion: one line in a shared header.

--- a/source/kernel/servicenames.h
+++ b/source/kernel/servicenames.h
@@ -8,6 +8,7 @@
 constexpr std::string_view Timers = "timers";
 constexpr std::string_view Metrics = "metrics";
 constexpr std::string_view Peers = "peers";
+constexpr std::string_view Calls = "calls";
 constexpr std::string_view Rules = "rules";
 constexpr std::string_view CallerServer = "caller_server";
 constexpr std::string_view OperatorServer = "operator_server";
