--- a/source/net/connectsession.cpp
+++ b/source/net/connectsession.cpp
@@ -1,11 +1,11 @@
 #include "net/connectsession.h"
 
+#include "net/connectheaders.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
-#include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace Bluebellquay {
@@ -23,35 +23,6 @@
 // What a peer may still send, and for how long, after the last answer on its connection.
 constexpr std::size_t MaxDrainedBytes = 1024 * 1024;
 constexpr auto DrainTimeout = std::chrono::seconds(2);
-// The protocol allows at most ten digits.
-constexpr std::size_t MaxTimeoutDigits = 10;
-
-constexpr std::string_view ProtocolVersion = "1";
-
-// The time depends on the length of the tokens only, so that it tells nothing about the secret.
-bool equalInConstantTime(std::string_view left, std::string_view right)
-{
-    volatile unsigned difference = left.size() == right.size() ? 0U : 1U;
-    for (std::size_t i = 0; i < left.size(); ++i) {
-        const char other = right.empty() ? '\0' : right[i % right.size()];
-        difference = difference
-            | static_cast<unsigned>(static_cast<unsigned char>(left[i])
-                                    ^ static_cast<unsigned char>(other));
-    }
-    return difference == 0;
-}
-
-std::optional<Duration> parseTimeout(std::string_view text)
-{
-    if (text.empty() || text.size() > MaxTimeoutDigits)
-        return std::nullopt;
-    std::int64_t milliseconds = 0;
-    const char *const end = text.data() + text.size();
-    const auto [position, error] = std::from_chars(text.data(), end, milliseconds);
-    if (error != std::errc() || position != end || milliseconds < 0)
-        return std::nullopt;
-    return std::chrono::milliseconds(milliseconds);
-}
 
 } // namespace
 
@@ -119,7 +90,8 @@
 
 void ConnectServer::Session::beginRequest()
 {
-    m_parser.emplace();
+    m_request.clear();
+    m_parser.emplace(m_request);
     m_parser->body_limit(m_listener->settings().maxBodyBytes);
     m_parser->header_limit(MaxHeaderBytes);
     m_parser->eager(true);
@@ -175,8 +147,7 @@
         dispatch();
         return;
     }
-    if (m_parser->is_header_done() && !m_continueSent
-        && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+    if (m_parser->is_header_done() && !m_continueSent && m_request.expectsContinue)
         sendContinue();
     else
         read();
@@ -213,17 +184,15 @@
 
 void ConnectServer::Session::dispatch()
 {
-    const auto &request = m_parser->get();
-    if (!request.keep_alive() || request.version() < 11 || m_listener->stopping())
+    if (!m_parser->keep_alive() || !m_request.http11 || m_listener->stopping())
         m_closeAfterAnswer = true;
     if (m_reject) {
         m_closeAfterAnswer = true;
         answerError({ConnectCode::Unavailable, "too many connections"});
         return;
     }
-    std::string_view path = request.target();
-    path = path.substr(0, path.find('?'));
-    if (request.method() == http::verb::get)
+    const std::string_view path = m_request.path();
+    if (m_request.method == http::verb::get)
         dispatchGet(path);
     else
         dispatchCall(path);
@@ -244,13 +213,12 @@
 
 void ConnectServer::Session::dispatchCall(std::string_view path)
 {
-    const auto &request = m_parser->get();
     const Method *method = m_listener->findMethod(path);
     if (method == nullptr && m_listener->findGet(path) != nullptr) {
         answer(405, {}, {}, "Allow: GET\r\n");
         return;
     }
-    if (request.method() != http::verb::post) {
+    if (m_request.method != http::verb::post) {
         answer(405, {}, {}, "Allow: POST\r\n");
         return;
     }
@@ -258,56 +226,24 @@
         answerError({ConnectCode::Unimplemented, "unknown method"}, 404);
         return;
     }
-    const auto encoding = connectEncodingOf(request[http::field::content_type]);
+    const auto encoding = connectEncodingOf(m_request.contentType);
     if (!encoding) {
         answer(415, {}, {}, "Accept-Post: application/proto, application/json\r\n");
         return;
     }
     m_encoding = *encoding;
     CallContext context;
-    if (const auto error = checkHeaders(context))
+    if (const auto error =
+            checkConnectHeaders(m_request, m_listener->settings().bearerSecret, context))
         answerError(*error);
     else
         invoke(*method, context);
 }
 
-std::optional<ConnectError> ConnectServer::Session::checkHeaders(CallContext &context) const
-{
-    const auto &request = m_parser->get();
-    if (!authorized())
-        return ConnectError{ConnectCode::Unauthenticated, "missing or wrong bearer token"};
-    const auto version = request.find("Connect-Protocol-Version");
-    if (version != request.end() && version->value() != ProtocolVersion)
-        return ConnectError{ConnectCode::InvalidArgument, "Connect-Protocol-Version must be 1"};
-    const auto coding = request.find(http::field::content_encoding);
-    if (coding != request.end() && !boost::beast::iequals(coding->value(), "identity"))
-        return ConnectError{ConnectCode::Unimplemented,
-                            "unknown Content-Encoding; supported: identity"};
-    const auto timeout = request.find("Connect-Timeout-Ms");
-    if (timeout == request.end())
-        return std::nullopt;
-    context.timeout = parseTimeout(timeout->value());
-    if (!context.timeout)
-        return ConnectError{ConnectCode::InvalidArgument,
-                            "Connect-Timeout-Ms must be a number of at most ten digits"};
-    return std::nullopt;
-}
-
-bool ConnectServer::Session::authorized() const
-{
-    const auto &secret = m_listener->settings().bearerSecret;
-    if (!secret)
-        return true;
-    static constexpr std::string_view Scheme = "Bearer ";
-    const std::string_view value = m_parser->get()[http::field::authorization];
-    return boost::beast::iequals(value.substr(0, Scheme.size()), Scheme)
-        && equalInConstantTime(value.substr(Scheme.size()), *secret);
-}
-
 void ConnectServer::Session::invoke(const Method &method, const CallContext &context)
 {
     const auto request = method.newRequest();
-    if (const auto problem = decodeConnectBody(m_parser->get().body(), m_encoding, *request)) {
+    if (const auto problem = decodeConnectBody(m_request.body, m_encoding, *request)) {
         answerError({ConnectCode::InvalidArgument, *problem});
         return;
     }
@@ -337,7 +273,7 @@
     if (m_encoding == ConnectEncoding::Proto) {
         // The size is needed for the head and kept by the message for the serialisation.
         const std::size_t size = response.ByteSizeLong();
-        appendHead(200, mediaType(m_encoding), size, {});
+        appendHead(200, mediaType(m_encoding), size);
         const std::size_t headSize = m_out.size();
         m_out.resize(headSize + size);
         response.SerializeWithCachedSizesToArray(
@@ -375,26 +311,7 @@
 {
     if (m_listener->stopping())
         m_closeAfterAnswer = true;
-    if (status == 200) {
-        m_out += "HTTP/1.1 200 OK\r\n";
-    } else {
-        m_out += "HTTP/1.1 ";
-        m_out += std::to_string(status);
-        m_out += ' ';
-        m_out += std::string_view(http::obsolete_reason(static_cast<http::status>(status)));
-        m_out += "\r\n";
-    }
-    if (!contentType.empty()) {
-        m_out += "Content-Type: ";
-        m_out += contentType;
-        m_out += "\r\n";
-    }
-    m_out += extraHeaders;
-    if (m_closeAfterAnswer)
-        m_out += "Connection: close\r\n";
-    m_out += "Content-Length: ";
-    m_out += std::to_string(bodySize);
-    m_out += "\r\n\r\n";
+    appendResponseHead(m_out, {status, contentType, bodySize, extraHeaders, m_closeAfterAnswer});
 }
 
 void ConnectServer::Session::write()
--- a/source/net/connectsession.h
+++ b/source/net/connectsession.h
@@ -4,10 +4,9 @@
 
 #include "net/connectlistener.h"
 #include "net/connectmessage.h"
+#include "net/connectrequest.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -32,7 +31,6 @@
     bool expired(Clock::time_point now) const { return now >= m_deadline; }
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     enum class State : std::uint8_t {
         Idle, // no byte of the next request has arrived
         Reading,
@@ -54,8 +52,6 @@
     void dispatch();
     void dispatchGet(std::string_view path);
     void dispatchCall(std::string_view path);
-    std::optional<ConnectError> checkHeaders(CallContext &context) const;
-    bool authorized() const;
     void invoke(const Method &method, const CallContext &context);
     void complete(std::uint64_t call, const google::protobuf::Message *response,
                   const ConnectError &error);
@@ -66,7 +62,7 @@
     void answer(unsigned status, std::string_view contentType, std::string_view body,
                 std::string_view extraHeaders = {});
     void appendHead(unsigned status, std::string_view contentType, std::size_t bodySize,
-                    std::string_view extraHeaders);
+                    std::string_view extraHeaders = {});
     void write();
     void onWritten(const boost::system::error_code &error);
     void drain();
@@ -74,7 +70,9 @@
     std::shared_ptr<Listener> m_listener;
     ServerSocket m_socket;
     boost::beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
+    ConnectRequest m_request;
+    // One for each request; a Beast parser can't be reset.
+    std::optional<ConnectRequestParser> m_parser;
     std::string m_out;
     Clock::time_point m_deadline;
     // Number of the call in progress; a completion of another call is ignored.
