Keep type descriptions between JSON conversions

Cause: protobuf derives the descriptions of a message's types anew for each conversion between JSON and binary form. Change: a type resolver with a cache of the compiled-in types, one per thread.

--- a/source/net/connectmessage.cpp
+++ b/source/net/connectmessage.cpp
@@ -2,8 +2,13 @@
 
 #include <boost/beast/core/string.hpp>
 #include <google/protobuf/util/json_util.h>
+#include <google/protobuf/util/type_resolver.h>
+#include <google/protobuf/util/type_resolver_util.h>
 #include <nlohmann/json.hpp>
 
+#include <memory>
+#include <unordered_map>
+
 namespace Bluebellquay {
 
 namespace {
@@ -11,13 +16,69 @@
 using google::protobuf::util::JsonParseOptions;
 using google::protobuf::util::JsonPrintOptions;
 
+constexpr const char *TypeUrlPrefix = "type.googleapis.com";
+
+// Keeps the type descriptions that the JSON conversion needs. Without it, protobuf derives them
+// anew from the descriptors for each message.
+class CachingTypeResolver : public google::protobuf::util::TypeResolver
+{
+public:
+    using Status = google::protobuf::util::Status;
+
+    Status ResolveMessageType(const std::string &url, google::protobuf::Type *type) override
+    {
+        const auto position = m_types.find(url);
+        if (position != m_types.end()) {
+            *type = position->second;
+            return Status();
+        }
+        const Status status = m_resolver->ResolveMessageType(url, type);
+        if (status.ok())
+            m_types.emplace(url, *type);
+        return status;
+    }
+    Status ResolveEnumType(const std::string &url, google::protobuf::Enum *type) override
+    {
+        const auto position = m_enums.find(url);
+        if (position != m_enums.end()) {
+            *type = position->second;
+            return Status();
+        }
+        const Status status = m_resolver->ResolveEnumType(url, type);
+        if (status.ok())
+            m_enums.emplace(url, *type);
+        return status;
+    }
+
+private:
+    std::unique_ptr<google::protobuf::util::TypeResolver> m_resolver{
+        google::protobuf::util::NewTypeResolverForDescriptorPool(
+            TypeUrlPrefix, google::protobuf::DescriptorPool::generated_pool())};
+    // Bounded by the types that are compiled in: only types that were found are kept.
+    std::unordered_map<std::string, google::protobuf::Type> m_types;
+    std::unordered_map<std::string, google::protobuf::Enum> m_enums;
+};
+
+// One for each thread, since its maps are not locked.
+CachingTypeResolver &typeResolver()
+{
+    thread_local CachingTypeResolver resolver;
+    return resolver;
+}
+
+std::string typeUrl(const google::protobuf::Message &message)
+{
+    return std::string(TypeUrlPrefix) + "/" + message.GetTypeName();
+}
+
 std::optional<std::string> decodeJson(std::string_view body, google::protobuf::Message &message)
 {
     JsonParseOptions options;
     options.ignore_unknown_fields = false;
-    const auto status =
-        google::protobuf::util::JsonStringToMessage({body.data(), body.size()}, &message, options);
-    if (status.ok())
+    std::string binary;
+    const auto status = google::protobuf::util::JsonToBinaryString(
+        &typeResolver(), typeUrl(message), {body.data(), body.size()}, &binary, options);
+    if (status.ok() && message.ParseFromString(binary))
         return std::nullopt;
     return "the body is not the JSON form of " + message.GetTypeName() + ": "
         + status.message().ToString();
@@ -58,7 +119,10 @@
     if (encoding == ConnectEncoding::Proto)
         return message.AppendToString(&out);
     std::string json;
-    if (!google::protobuf::util::MessageToJsonString(message, &json, JsonPrintOptions()).ok())
+    if (!google::protobuf::util::BinaryToJsonString(&typeResolver(), typeUrl(message),
+                                                    message.SerializeAsString(), &json,
+                                                    JsonPrintOptions())
+             .ok())
         return false;
     out += json;
     return true;
