Add the entry daemon

Cause: callers and operators need a process that serves the dispatcher's interface. Change: EntryDaemon puts servers, links, table client, cores and timers together by name; services run the cores; APIs convert; counters for each method, result and reason; graceful shutdown; help.

--- /dev/null
+++ b/source/daemons/entry/configservice.h
@@ -0,0 +1,74 @@
+// Runs ConfigKeeper and EntryRows of a daemon: connects them with the table, the peers and the
+// checks of submissions.
+#pragma once
+
+#include "core/configkeeper.h"
+#include "core/entryrows.h"
+#include "daemons/entry/callservice.h"
+#include "kernel/serviceregistry.h"
+#include "kernel/timerservice.h"
+#include "net/peernode.h"
+#include "net/tableclient.h"
+
+#include <boost/leaf.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <variant>
+
+namespace Bluebellquay {
+
+class ConfigService
+{
+public:
+    using ApplyDone = std::function<void(std::variant<AppliedConfig, CallError>)>;
+
+    // Finds timers, peers, store and calls in the registry.
+    static boost::leaf::result<std::unique_ptr<ConfigService>>
+    create(const ServiceRegistry &services, ConfigKeeperSettings settings, ProcessInfo self);
+
+    void apply(ConfigChange change, std::optional<Duration> timeout, ApplyDone done);
+
+    void heartbeat(Incarnation from, ConfigVersion version);
+    void received(Incarnation from, const ConfigDocument &document);
+    void received(Incarnation from, const ConfigRequest &request);
+    void peerDown(Incarnation peer) { m_keeper.peerDown(peer); }
+
+    const ConfigKeeper &keeper() const { return m_keeper; }
+    // Calls are served since a version is in force.
+    bool ready() const { return m_ready; }
+
+private:
+    struct Parts
+    {
+        TimerService &timers;
+        PeerNode &peers;
+        TableClient &table;
+        CallService &calls;
+    };
+
+    ConfigService(Parts parts, ConfigKeeperSettings settings, const ProcessInfo &self);
+
+    void finishTurn(TimePoint now);
+    void deliver();
+    void read(const TableGet &get);
+    void write(const TablePut &put);
+    void rulesChanged();
+    void deliverRows();
+    void arm();
+
+    Parts m_parts;
+    ConfigKeeper m_keeper;
+    EntryRows m_rows;
+    bool m_ready = false;
+    ConfigOutbox m_out;
+    EntryRowsOutbox m_rowsOut;
+    std::unordered_map<CallId, ApplyDone> m_pending;
+    CallId m_lastCall;
+    TimerSubscription m_timer;
+    // What m_timer waits for; meaningless unless it is active.
+    TimePoint m_armedFor;
+};
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/daemons/entry/entrydaemon.h
@@ -0,0 +1,85 @@
+// The entry process: puts its parts together by name, and stops them in order.
+//
+// A planned stop (SIGTERM, SIGINT) goes: readiness fails at once; after the drain grace the servers
+// accept no connection; calls in progress finish; those that are still open shortly before the stop
+// timeout are ended with "unknown, ask again"; links are closed.
+#pragma once
+
+#include "config/daemonsettings.h"
+#include "daemons/entry/adminapi.h"
+#include "daemons/entry/callerapi.h"
+#include "daemons/entry/callservice.h"
+#include "daemons/entry/configservice.h"
+#include "daemons/entry/noncepool.h"
+#include "daemons/entry/operatorapi.h"
+#include "kernel/metrics.h"
+#include "kernel/serviceregistry.h"
+#include "kernel/timerservice.h"
+#include "net/connectserver.h"
+#include "net/peernode.h"
+#include "net/tableclient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf.hpp>
+
+#include <memory>
+
+namespace Bluebellquay {
+
+class EntryDaemon
+{
+public:
+    // Listens when it returns. Fails with ListenError, AddressError, ServiceNotFound,
+    // ServiceNameTaken or std::string.
+    static boost::leaf::result<std::unique_ptr<EntryDaemon>>
+    create(boost::asio::io_context &context, EntrySettings settings);
+
+    // Stops as planned; the io_context runs out of work when it is done. Idempotent.
+    void beginStop();
+
+private:
+    EntryDaemon(boost::asio::io_context &context, EntrySettings settings);
+
+    boost::leaf::result<void> open();
+    boost::leaf::result<void> openServers();
+    boost::leaf::result<void> openPeers();
+    boost::leaf::result<void> openServices();
+    PeerHandlers peerHandlers();
+    void received(Incarnation from, Message message);
+    ProcessInfo self() const;
+    void waitForSignal();
+    void logStarted() const;
+    void stopServers();
+    void serverStopped();
+    void finishStop(std::string_view reason);
+
+    boost::asio::io_context &m_context;
+    EntrySettings m_settings;
+    NoncePool m_nonces;
+    Incarnation m_incarnation;
+    boost::asio::signal_set m_signals;
+    TimerService m_timers;
+    Metrics m_metrics;
+    ServiceRegistry m_services;
+    // Destroyed in reverse order: each part may use those above it.
+    std::unique_ptr<ConnectServer> m_callerServer;
+    std::unique_ptr<ConnectServer> m_operatorServer;
+    std::unique_ptr<ConnectServer> m_adminServer;
+    std::unique_ptr<TableClient> m_table;
+    std::unique_ptr<PeerNode> m_peers;
+    // Null until the links may be used; handlers of links check them.
+    std::unique_ptr<CallService> m_calls;
+    std::unique_ptr<ConfigService> m_config;
+    std::unique_ptr<CallerApi> m_callerApi;
+    std::unique_ptr<OperatorApi> m_operatorApi;
+    std::unique_ptr<AdminApi> m_adminApi;
+    bool m_stopping = false;
+    bool m_finishing = false;
+    int m_runningServers = 0;
+    TimerSubscription m_drainTimer;
+    TimerSubscription m_endCallsTimer;
+    TimerSubscription m_stopTimer;
+};
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/daemons/entry/noncepool.h
@@ -0,0 +1,26 @@
+// Nonces from the kernel's random generator, read in blocks to save system calls.
+#pragma once
+
+#include "base/submissionid.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace Bluebellquay {
+
+class NoncePool
+{
+public:
+    // Throws std::system_error if the kernel supplies no random bytes.
+    std::uint64_t nextNumber();
+    Nonce next() { return Nonce(nextNumber()); }
+
+private:
+    // getentropy() gives at most 256 bytes at a time.
+    std::array<std::uint64_t, 32> m_numbers{};
+    // Numbers from here on are unused.
+    std::size_t m_next = 32;
+};
+
+} // namespace Bluebellquay
