--- a/source/net/peernode.h
+++ b/source/net/peernode.h
@@ -1,6 +1,5 @@
 // The links of this process to its peers: dials, accepts, says hello, sends heartbeats, notices
-// silence, batches messages and hands whole typed messages up. Uses websocketpp, which no other
-// file includes.
+// silence, batches messages and hands whole typed messages up.
 #pragma once
 
 #include "base/messages.h"
@@ -47,9 +46,12 @@
     std::function<Heartbeat()> heartbeat;
 };
 
+class PeerLinks;
+
 class PeerNode
 {
 public:
+    // Fails with TransportError (net/websockettransport.h).
     static boost::leaf::result<std::unique_ptr<PeerNode>>
     create(boost::asio::io_context &context, TimerService &timers, Metrics &metrics,
            PeerNodeSettings settings, ProcessInfo self, PeerHandlers handlers);
@@ -60,7 +62,8 @@
     void forget(const std::string &address);
 
     // Queues the message; all messages of one turn of the event loop to one peer go in one frame.
-    // Returns false, and counts it, if there is no link: the message is dropped then.
+    // Returns false, and counts it, if there is no link or the message
+    // is too large for a frame: the message is dropped then.
     bool send(Incarnation to, const Message &message);
     // Sends a heartbeat on every link now, for a change of state that peers should know at once.
     void sendHeartbeats();
@@ -72,10 +75,9 @@
     void stop(std::function<void()> stopped);
 
 private:
-    class Links;
-    explicit PeerNode(std::shared_ptr<Links> links);
+    explicit PeerNode(std::shared_ptr<PeerLinks> links);
 
-    std::shared_ptr<Links> m_links;
+    std::shared_ptr<PeerLinks> m_links;
 };
 
 } // namespace Bluebellquay
--- /dev/null
+++ b/tests/net/peernodetest.cpp
@@ -0,0 +1,52 @@
+// Guards against links that lose, reorder or duplicate messages, or that tell wrong states.
+#include "net/testpeer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Bluebellquay;
+using namespace Bluebellquay::Testing;
+
+TEST_CASE("Two peers exchange Hello and messages in order", "[net]")
+{
+    boost::asio::io_context context;
+    TimerService timers(context);
+    TestPeer left(context, timers, 1);
+    TestPeer right(context, timers, 2);
+    left.node->dial(right.address());
+    REQUIRE(runUntil(context, [&] { return !left.ups.empty() && !right.ups.empty(); }));
+    CHECK(left.ups[0].name == "peer-2");
+    CHECK(right.ups[0].name == "peer-1");
+    CHECK(left.node->connected(Incarnation(2)));
+
+    constexpr std::uint64_t Count = 5000; // more than one frame holds
+    for (std::uint64_t i = 0; i < Count; ++i) {
+        REQUIRE(left.node->send(Incarnation(2), StopWaiting{Correlation(i)}));
+        REQUIRE(right.node->send(Incarnation(1), Drain{Correlation(i)}));
+    }
+    REQUIRE(runUntil(
+        context, [&] { return left.received.size() >= Count && right.received.size() >= Count; }));
+    for (std::uint64_t i = 0; i < Count; ++i) {
+        CHECK(right.received[i] == Message(StopWaiting{Correlation(i)}));
+        CHECK(left.received[i] == Message(Drain{Correlation(i)}));
+    }
+    CHECK(left.counted("bluebellquay_peer_frames_sent_total") <= 4);
+    CHECK_FALSE(left.node->send(Incarnation(3), Drain{}));
+}
+
+TEST_CASE("A stop sends what is queued and ends the links of both sides", "[net]")
+{
+    boost::asio::io_context context;
+    TimerService timers(context);
+    TestPeer left(context, timers, 1);
+    TestPeer right(context, timers, 2);
+    left.node->dial(right.address());
+    REQUIRE(runUntil(context, [&] { return !left.ups.empty() && !right.ups.empty(); }));
+    bool stopped = false;
+    REQUIRE(left.node->send(Incarnation(2), Drain{Correlation(7)}));
+    left.node->stop([&] { stopped = true; });
+    REQUIRE(runUntil(context, [&] { return stopped && !right.downs.empty(); }));
+    CHECK(right.received == std::vector<Message>{Drain{Correlation(7)}});
+    CHECK(left.downs == std::vector<Incarnation>{Incarnation(2)});
+    CHECK(right.closed("peer_closed") == 1);
+    CHECK(left.closed("stopping") == 1);
+}
