Add the agent daemon: the whole path runs as separate processes

Change: AgentDaemon connects AgentCore to links, upstream, timers and signals; LinkPlan decides what to dial; UpstreamRunner tells a task that surely never reached the upstream from one whose outcome is lost, for which ConnectError now says whether the request was sent and whether the server answered. Message names moved to base, where two parts had a copy each. Both daemons share options and main.

--- /dev/null
+++ b/source/base/messagekind.cpp
@@ -0,0 +1,25 @@
+#include "base/messagekind.h"
+
+#include <iterator>
+
+namespace Bluebellquay {
+
+namespace {
+
+constexpr std::string_view KindNames[] = {
+    "hello",      "heartbeat",    "directory", "config_document", "config_request", "submit",
+    "await",      "stop_waiting", "cancel",    "refuse",          "query",          "reply",
+    "reserve",    "pull",         "bind",      "task_result",     "result_ack",     "withdraw",
+    "task_query", "task_state",   "handover",  "handover_ack",    "succeeded",      "drain",
+    "drain_ack",
+};
+static_assert(std::size(KindNames) == MessageKinds);
+
+} // namespace
+
+std::string_view messageKindName(std::size_t kind)
+{
+    return KindNames[kind];
+}
+
+} // namespace Bluebellquay
--- a/source/core/corestatistics.cpp
+++ b/source/core/corestatistics.cpp
@@ -18,14 +18,6 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(RetryReason::Count)> RetryNames{
     "task_failed", "task_lost", "not_started"};
 
-constexpr std::array<std::string_view, CoreStatistics::MessageKinds> MessageNames{
-    "hello",      "heartbeat",    "directory", "config_document", "config_request", "submit",
-    "await",      "stop_waiting", "cancel",    "refuse",          "query",          "reply",
-    "reserve",    "pull",         "bind",      "task_result",     "result_ack",     "withdraw",
-    "task_query", "task_state",   "handover",  "handover_ack",    "succeeded",      "drain",
-    "drain_ack",
-};
-
 } // namespace
 
 void CoreStatistics::addAnswer(const Answer &answer)
@@ -60,8 +52,8 @@
         }
     }
     for (std::size_t i = 0; i < MessageKinds; ++i) {
-        visitor("messages_sent", "kind", MessageNames[i], m_sent[i]);
-        visitor("messages_received", "kind", MessageNames[i], m_received[i]);
+        visitor("messages_sent", "kind", messageKindName(i), m_sent[i]);
+        visitor("messages_received", "kind", messageKindName(i), m_received[i]);
     }
 }
 
@@ -75,9 +67,4 @@
     return RetryNames.at(static_cast<std::size_t>(reason));
 }
 
-std::string_view messageKindName(std::size_t kind)
-{
-    return MessageNames.at(kind);
-}
-
 } // namespace Bluebellquay
--- a/source/core/corestatistics.h
+++ b/source/core/corestatistics.h
@@ -2,6 +2,7 @@
 // for each event that the tests and operators look at.
 #pragma once
 
+#include "base/messagekind.h"
 #include "base/messages.h"
 
 #include <array>
@@ -51,7 +52,6 @@
 
 public:
     static constexpr std::size_t ReasonLimit = 64;
-    static constexpr std::size_t MessageKinds = std::variant_size_v<Message>;
     using Visitor = std::function<void(std::string_view name, std::string_view label,
                                        std::string_view labelValue, std::uint64_t value)>;
 
@@ -88,7 +88,5 @@
 // Snake-case names as used for metric labels.
 std::string_view toString(CoreCounter counter);
 std::string_view toString(RetryReason reason);
-// Name of a message kind by its position in Message.
-std::string_view messageKindName(std::size_t kind);
 
 } // namespace Bluebellquay
--- /dev/null
+++ b/source/daemons/agent/main.cpp
@@ -0,0 +1,10 @@
+// bluebellquay-agent: the process beside each upstream.
+#include "config/daemonsettings.h"
+#include "daemons/agent/agentdaemon.h"
+#include "daemons/daemonmain.h"
+
+int main(int argc, const char **argv)
+{
+    return Bluebellquay::daemonMain<Bluebellquay::AgentDaemon, Bluebellquay::AgentSettings>(
+        argc, argv, "bluebellquay-agent");
+}
--- /dev/null
+++ b/source/daemons/daemonmain.h
@@ -0,0 +1,67 @@
+// What main() does in each daemon: options, settings with all findings, event loop, exit status.
+#pragma once
+
+#include "config/finding.h"
+#include "daemons/daemonoptions.h"
+#include "kernel/log.h"
+#include "net/connectclient.h"
+#include "net/connectserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf.hpp>
+
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace Bluebellquay {
+
+constexpr int ExitFailure = 1;
+
+// Settings needs load(path) and a member process; Daemon needs create(context, settings) and ends
+// the work of the context when it has stopped as planned.
+template <typename Daemon, typename Settings>
+int daemonMain(int argc, const char **argv, std::string_view name)
+{
+    const auto parsed = DaemonOptions::parse(argc, argv);
+    if (const auto *status = std::get_if<ExitStatus>(&parsed))
+        return status->code;
+    const auto &options = std::get<DaemonOptions>(parsed);
+
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<int> {
+            BOOST_LEAF_AUTO(settings, Settings::load(options.configFile()));
+            if (options.checkOnly()) {
+                std::cout << options.configFile() << ": no findings\n";
+                return 0;
+            }
+            initializeLog(name, settings.process.logLevel);
+            boost::asio::io_context context(1);
+            BOOST_LEAF_AUTO(daemon, Daemon::create(context, std::move(settings)));
+            context.run();
+            return 0;
+        },
+        [](const Findings &findings) {
+            std::cerr << toString(findings);
+            return ExitUsage;
+        },
+        [](const ListenError &error) {
+            std::cerr << "can't listen on " << error.endpoint << ": " << error.reason << '\n';
+            return ExitFailure;
+        },
+        [](const AddressError &error) {
+            std::cerr << '"' << error.address << "\" is not an IP number and a port\n";
+            return ExitFailure;
+        },
+        [](const std::string &message) {
+            std::cerr << message << '\n';
+            return ExitFailure;
+        },
+        [] {
+            std::cerr << "the process could not be started\n";
+            return ExitFailure;
+        });
+}
+
+} // namespace Bluebellquay
--- a/source/net/clientconnection.cpp
+++ b/source/net/clientconnection.cpp
@@ -147,7 +147,9 @@
         m_pool->connectionIdle(shared_from_this());
     const auto pool = m_pool;
     if (response.result_int() != 200) {
-        pool->finish(call, nullptr, decodeConnectError(response.body(), response.result_int()));
+        ConnectError error = decodeConnectError(response.body(), response.result_int());
+        error.fromServer = true;
+        pool->finish(call, nullptr, error);
         return;
     }
     // A broken answer says nothing about what the server did, so its code is unknown.
@@ -183,7 +185,9 @@
     if (!call || repeatable)
         return;
     const ConnectCode code = m_written ? ConnectCode::Unknown : ConnectCode::Unavailable;
-    pool->finish(call, nullptr, {code, "connection failed: " + reason});
+    ConnectError error{code, "connection failed: " + reason};
+    error.requestSent = m_written;
+    pool->finish(call, nullptr, error);
 }
 
 void ClientConnection::abandon(const std::shared_ptr<ClientCall> &call)
--- a/source/net/connecterror.h
+++ b/source/net/connecterror.h
@@ -32,6 +32,10 @@
 {
     ConnectCode code = ConnectCode::Unknown;
     std::string message;
+    // The server's own answer; false if the client reports that no answer came.
+    bool fromServer = false;
+    // False only if surely no whole request reached the server.
+    bool requestSent = true;
 };
 
 // Published snake-case name, for example "invalid_argument".
--- a/source/net/messagecodec.cpp
+++ b/source/net/messagecodec.cpp
@@ -16,15 +16,6 @@
 // Lists grow as their elements are read; no announced length makes a larger reservation.
 constexpr std::size_t MaxReservedElements = 64;
 
-constexpr std::string_view KindNames[] = {
-    "hello",      "heartbeat",    "directory", "config_document", "config_request", "submit",
-    "await",      "stop_waiting", "cancel",    "refuse",          "query",          "reply",
-    "reserve",    "pull",         "bind",      "task_result",     "result_ack",     "withdraw",
-    "task_query", "task_state",   "handover",  "handover_ack",    "succeeded",      "drain",
-    "drain_ack",
-};
-static_assert(std::size(KindNames) == MessageKinds);
-
 constexpr std::string_view ErrorNames[] = {
     "truncated",    "too_large",   "malformed",  "wrong_version", "too_many_messages",
     "unknown_type", "field_count", "field_type", "field_range",
@@ -405,11 +396,6 @@
     return ErrorNames[static_cast<std::size_t>(error)];
 }
 
-std::string_view messageKindName(std::size_t typeNumber)
-{
-    return KindNames[typeNumber];
-}
-
 void appendMessage(std::string &output, const Message &message)
 {
     Encoder encoder(output);
--- a/source/net/messagecodec.h
+++ b/source/net/messagecodec.h
@@ -3,6 +3,7 @@
 // that comes from a peer is checked here; a decoded message has only values its types allow.
 #pragma once
 
+#include "base/messagekind.h"
 #include "base/messages.h"
 
 #include <boost/leaf.hpp>
@@ -38,10 +39,6 @@
 // Snake-case name as used in logs and metric labels, for example "wrong_version".
 std::string_view toString(DecodeError error);
 
-constexpr std::size_t MessageKinds = std::variant_size_v<Message>;
-// Snake-case name of the message type with this number; the number must be below MessageKinds.
-std::string_view messageKindName(std::size_t typeNumber);
-
 struct ReceivedMessage
 {
     Message message;
