--- a/source/core/callrelay.cpp
+++ b/source/core/callrelay.cpp
@@ -32,6 +32,15 @@
     return submit == nullptr || reply.answer->outputs.size() == submit->job.tasks.size();
 }
 
+CallError notSeenError(CallKind kind)
+{
+    // The home has no room for a record, or the id is not issued yet.
+    if (kind == CallKind::Submit || kind == CallKind::Refuse)
+        return {CallErrorKind::Unavailable,
+                "the home can't record the submission now; submit again with this id"};
+    return {CallErrorKind::NotFound, "id: no submission so far; one under way may still arrive"};
+}
+
 } // namespace
 
 CallRelay::CallRelay(CallRelaySettings settings, const ProcessDirectory &directory,
@@ -94,10 +103,7 @@
         return finishUnknown(call, from == call.id.home() ? Reason::HomeSilent : Reason::HomeGone,
                              "the home has no records of its own any more", out);
     case ReplyKind::NotSeen:
-        return finish(call,
-                      CallError{CallErrorKind::NotFound,
-                                "id: no submission so far; one under way may still arrive"},
-                      out);
+        return finish(call, notSeenError(call.kind), out);
     }
     ++m_statistics.repliesInvalid;
 }
