--- a/source/core/configkeeper.cpp
+++ b/source/core/configkeeper.cpp
@@ -289,6 +289,13 @@
         std::max(highestKnown(), found ? found->version : ConfigVersion());
     if (apply.change.expected != current)
         return endConflict(apply, found, current, out);
+    if (findPast(apply.change) != nullptr) {
+        out.ends.push_back({apply.call,
+                            CallError{CallErrorKind::AlreadyExists,
+                                      "change_id: was used for an earlier version of the same "
+                                      "text; choose a new one"}});
+        return;
+    }
     write(std::move(apply), *row, current, out);
 }
 
@@ -302,15 +309,19 @@
     m_applies.emplace(apply.operation, std::move(apply));
 }
 
+const ConfigKeeper::Past *ConfigKeeper::findPast(const ConfigChange &change) const
+{
+    const std::size_t textHash = std::hash<std::string>()(change.text);
+    const auto past = std::find_if(m_past.begin(), m_past.end(), [&](const Past &candidate) {
+        return candidate.changeId == change.changeId && candidate.textHash == textHash;
+    });
+    return past == m_past.end() ? nullptr : &*past;
+}
+
 void ConfigKeeper::endConflict(const Apply &apply, const std::optional<ConfigDocument> &row,
                                ConfigVersion current, ConfigOutbox &out)
 {
-    const auto isThisChange = [&](const Past &past) {
-        return past.changeId == apply.change.changeId
-            && past.textHash == std::hash<std::string>()(apply.change.text);
-    };
-    const auto past = std::find_if(m_past.rbegin(), m_past.rend(), isThisChange);
-    if (past != m_past.rend()) {
+    if (const Past *past = findPast(apply.change)) {
         // It was accepted and has been replaced since.
         out.ends.push_back({apply.call, AppliedConfig{past->version, {}}});
         return;
--- a/source/core/configkeeper.h
+++ b/source/core/configkeeper.h
@@ -109,6 +109,12 @@
         TableOperation operation;
     };
     using Applies = std::map<TableOperation, Apply>;
+    struct Past
+    {
+        std::string changeId;
+        ConfigVersion version;
+        std::size_t textHash = 0;
+    };
 
     TableOperation nextOperation() { return m_lastOperation = m_lastOperation.next(); }
     void read(TableOperation operation, ConfigOutbox &out) const;
@@ -120,6 +126,8 @@
     void write(Apply apply, const TableRow &row, ConfigVersion current, ConfigOutbox &out);
     void endConflict(const Apply &apply, const std::optional<ConfigDocument> &row,
                      ConfigVersion current, ConfigOutbox &out);
+    // Null if the change was not seen in force here.
+    const Past *findPast(const ConfigChange &change) const;
     void endOverdue(TimePoint now, ConfigOutbox &out);
     void noteRow(const std::optional<TableRow> &row, ConfigOutbox &out);
     ConfigVersion highestKnown() const;
@@ -127,13 +135,7 @@
     ConfigKeeperSettings m_settings;
     TimePoint m_start;
     std::optional<ConfigInForce> m_current;
-    // Documents that have been in force here, latest last: change id, version and digest of text.
-    struct Past
-    {
-        std::string changeId;
-        ConfigVersion version;
-        std::size_t textHash = 0;
-    };
+    // Documents that have been in force here, latest last.
     std::deque<Past> m_past;
     // Of linked peers.
     std::unordered_map<Incarnation, ConfigVersion> m_peerVersions;
