--- a/source/core/corestatistics.h
+++ b/source/core/corestatistics.h
@@ -52,6 +52,7 @@
 
 public:
     static constexpr std::size_t ReasonLimit = 64;
+    static constexpr std::size_t MessageKinds = Bluebellquay::MessageKinds;
     using Visitor = std::function<void(std::string_view name, std::string_view label,
                                        std::string_view labelValue, std::uint64_t value)>;
 
