Add the command line

Cause: operators and callers need the interface without writing a client. ConnectError says whether the peer answered with it, so that an unavailable answer is not taken for a call that was never sent. Conclusion: to be run against a real entry once it is merged.

--- /dev/null
+++ b/source/cli/commandparser.h
@@ -0,0 +1,20 @@
+// Parses the command line with popt.
+#pragma once
+
+#include "cli/commandoptions.h"
+
+#include <boost/leaf.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Bluebellquay {
+
+// Arguments without the program name. The error is UsageError.
+boost::leaf::result<CommandOptions> parseCommand(const std::vector<std::string> &arguments);
+
+// Help text of a command, or of the program if the command is empty or unknown.
+std::string commandHelp(std::string_view command);
+
+} // namespace Bluebellquay
--- a/source/net/connecterror.h
+++ b/source/net/connecterror.h
@@ -32,6 +32,8 @@
 {
     ConnectCode code = ConnectCode::Unknown;
     std::string message;
+    // True if the peer answered with this error, false if its answer was not received.
+    bool fromPeer = false;
 };
 
 // Published snake-case name, for example "invalid_argument".
--- a/source/net/connectmessage.cpp
+++ b/source/net/connectmessage.cpp
@@ -138,7 +138,7 @@
 ConnectError decodeConnectError(std::string_view body, unsigned status)
 {
     const auto json = nlohmann::json::parse(body, nullptr, false);
-    ConnectError error{connectCodeOfStatus(status), "HTTP status " + std::to_string(status)};
+    ConnectError error{connectCodeOfStatus(status), "HTTP status " + std::to_string(status), true};
     if (!json.is_object())
         return error;
     const auto code = json.find("code");
