--- a/source/daemons/agent/upstreamrunner.cpp
+++ b/source/daemons/agent/upstreamrunner.cpp
@@ -69,7 +69,7 @@
             if (auto *error = std::get_if<ConnectError>(&result)) {
                 if (!error->requestSent)
                     return finish(key, RunEnd::NotStarted, std::move(outcome));
-                if (!error->fromServer)
+                if (!error->fromPeer)
                     return finish(key, RunEnd::Lost, std::move(outcome));
                 outcome.error = std::string(toString(error->code)) + ": " + error->message;
                 return finish(key, RunEnd::Finished, std::move(outcome));
--- a/source/net/clientconnection.cpp
+++ b/source/net/clientconnection.cpp
@@ -148,7 +148,7 @@
     const auto pool = m_pool;
     if (response.result_int() != 200) {
         ConnectError error = decodeConnectError(response.body(), response.result_int());
-        error.fromServer = true;
+        error.fromPeer = true;
         pool->finish(call, nullptr, error);
         return;
     }
--- a/source/net/connecterror.h
+++ b/source/net/connecterror.h
@@ -32,9 +32,9 @@
 {
     ConnectCode code = ConnectCode::Unknown;
     std::string message;
-    // The server's own answer; false if the client reports that no answer came.
-    bool fromServer = false;
-    // False only if surely no whole request reached the server.
+    // True if the peer answered with this error, false if its answer was not received.
+    bool fromPeer = false;
+    // False only if surely no whole request reached the peer.
     bool requestSent = true;
 };
 
