--- a/source/config/configreader.h
+++ b/source/config/configreader.h
@@ -90,13 +90,13 @@
 // The member is a pointer to a member or a function that returns a reference to it. The default of
 // an optional key is what a newly made Target holds.
 template <typename Target, ConfigValueType Type, typename Member>
-ConfigKey<Target> configKey(std::string name, Type type, Member member, Presence presence,
-                            std::string effect)
+ConfigKey<Target> configKey(const std::string &name, Type type, Member member, Presence presence,
+                            const std::string &effect)
 {
     ConfigKey<Target> key;
     key.description = type.describe();
-    key.description.name = std::move(name);
-    key.description.effect = std::move(effect);
+    key.description.name = name;
+    key.description.effect = effect;
     key.presence = presence;
     if (presence == Presence::Optional) {
         Target defaults{};
@@ -114,6 +114,7 @@
 std::vector<ConfigKey<Whole>> liftKeys(const std::vector<ConfigKey<Part>> &keys, Part Whole::*part)
 {
     std::vector<ConfigKey<Whole>> lifted;
+    lifted.reserve(keys.size());
     for (const ConfigKey<Part> &key : keys)
         lifted.push_back(
             {key.description, key.presence,
--- a/source/config/valuetypes.cpp
+++ b/source/config/valuetypes.cpp
@@ -42,10 +42,10 @@
 std::optional<std::string> readText(const toml::node &node, const ConfigPlace &place,
                                     const KeyDescription &description)
 {
-    if (const auto text = node.value_exact<std::string>())
-        return text;
-    reportUnexpected(node, place, description);
-    return std::nullopt;
+    auto text = node.value_exact<std::string>();
+    if (!text)
+        reportUnexpected(node, place, description);
+    return text;
 }
 
 bool isRemoteAddress(std::string_view text)
--- a/tests/config/daemonsettingstest.cpp
+++ b/tests/config/daemonsettingstest.cpp
@@ -20,7 +20,7 @@
 {
     std::string text;
     for (const auto &[key, value] : lines)
-        text += key + " = " + value + "\n";
+        text.append(key).append(" = ").append(value).append("\n");
     return text;
 }
 
--- a/tests/config/examplestest.cpp
+++ b/tests/config/examplestest.cpp
@@ -17,9 +17,9 @@
 std::string writeExample(const TemporaryFolder &folder, const std::string &name)
 {
     std::string text = readWholeFile("examples/" + name);
-    for (const std::string secret : {"peer", "operator"})
-        text =
-            replaced(text, "/run/secrets/bluebellquay-" + secret, folder.write(secret, "example"));
+    text = replaced(text, "/run/secrets/bluebellquay-peer", folder.write("peer", "example"));
+    text =
+        replaced(text, "/run/secrets/bluebellquay-operator", folder.write("operator", "example"));
     return folder.write(name, text);
 }
 
--- a/tests/config/temporaryfile.h
+++ b/tests/config/temporaryfile.h
@@ -31,7 +31,7 @@
     // Returns the path of the new file.
     std::string write(const std::string &name, const std::string &content, mode_t mode = 0600) const
     {
-        const std::string path = (m_path / name).string();
+        std::string path = (m_path / name).string();
         std::ofstream(path, std::ios::binary) << content;
         ::chmod(path.c_str(), mode);
         return path;
--- a/tests/standins/dispatcherstandin.cpp
+++ b/tests/standins/dispatcherstandin.cpp
@@ -8,8 +8,8 @@
 using namespace bluebellquay::v1;
 
 boost::leaf::result<std::unique_ptr<DispatcherStandin>>
-DispatcherStandin::create(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint endpoint,
-                          const std::string &home)
+DispatcherStandin::create(boost::asio::io_context &context,
+                          const boost::asio::ip::tcp::endpoint &endpoint, const std::string &home)
 {
     ConnectServerSettings settings;
     settings.endpoint = endpoint;
--- a/tests/standins/dispatcherstandin.h
+++ b/tests/standins/dispatcherstandin.h
@@ -20,7 +20,7 @@
 
     // Errors: ListenError. Home is the first part of the ids that are issued.
     static boost::leaf::result<std::unique_ptr<DispatcherStandin>>
-    create(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint endpoint,
+    create(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint,
            const std::string &home);
 
     // What the upstream stand-ins would make of the submission.
--- a/tests/standins/tablestandin.cpp
+++ b/tests/standins/tablestandin.cpp
@@ -13,7 +13,7 @@
 
 boost::leaf::result<std::unique_ptr<TableStandin>>
 TableStandin::create(boost::asio::io_context &context, TimerService &timers,
-                     boost::asio::ip::tcp::endpoint endpoint)
+                     const boost::asio::ip::tcp::endpoint &endpoint)
 {
     ConnectServerSettings settings;
     settings.endpoint = endpoint;
--- a/tests/standins/tablestandin.h
+++ b/tests/standins/tablestandin.h
@@ -21,7 +21,7 @@
     // Errors: ListenError.
     static boost::leaf::result<std::unique_ptr<TableStandin>>
     create(boost::asio::io_context &context, TimerService &timers,
-           boost::asio::ip::tcp::endpoint endpoint);
+           const boost::asio::ip::tcp::endpoint &endpoint);
 
     unsigned short port() const { return m_server->port(); }
 
--- a/tests/standins/upstreamstandintest.cpp
+++ b/tests/standins/upstreamstandintest.cpp
@@ -18,7 +18,7 @@
 class Registry
 {
 public:
-    Registry(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint endpoint)
+    Registry(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint)
     {
         ConnectServerSettings settings;
         settings.endpoint = endpoint;
