--- a/source/net/peerlink.h
+++ b/source/net/peerlink.h
@@ -57,7 +57,8 @@
 
         bool above(const Rank &other) const
         {
-            return dialer == other.dialer ? number > other.number : dialer < other.dialer;
+            return dialer == other.dialer ? number > other.number
+                                          : dialer.value() < other.dialer.value();
         }
     };
 
--- a/source/net/websocketconfig.h
+++ b/source/net/websocketconfig.h
@@ -1,5 +1,5 @@
-// Configuration of websocketpp for this project: no log output, no locks, no timeouts, masking keys
-// without a system call for each frame. Include this from websockettransport.cpp only.
+// Configuration of websocketpp for this project: no log output, no locks, no timeouts of its
+// own. Include this from websockettransport.cpp only.
 #pragma once
 
 #include <websocketpp/common/platforms.hpp>
@@ -23,8 +23,8 @@
 
 namespace Bluebellquay {
 
-// Masking keys of frames. They protect against caches between browsers and servers, which peer
-// links don't have, so a generator without a system call for each frame is enough.
+// Random numbers for upgrade requests and for the masking keys of control frames. Neither protects
+// a peer link from anything, so a generator without a system call for each number is enough.
 class MaskGenerator
 {
 public:
--- /dev/null
+++ b/tests/net/allocationwatch.cpp
@@ -0,0 +1,45 @@
+#include "net/allocationwatch.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdlib>
+#include <new>
+
+namespace {
+
+std::atomic<std::size_t> largest{0};
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    if (size > largest.load(std::memory_order_relaxed))
+        largest.store(size, std::memory_order_relaxed);
+    if (void *memory = std::malloc(std::max<std::size_t>(size, 1)))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
+
+namespace Bluebellquay::Testing {
+
+void resetLargestAllocation()
+{
+    largest = 0;
+}
+
+std::size_t largestAllocation()
+{
+    return largest;
+}
+
+} // namespace Bluebellquay::Testing
--- a/tests/net/testpeer.cpp
+++ b/tests/net/testpeer.cpp
@@ -26,7 +26,7 @@
     PeerHandlers handlers;
     handlers.up = [this](const ProcessInfo &peer) { ups.push_back(peer); };
     handlers.down = [this](Incarnation peer) { downs.push_back(peer); };
-    handlers.received = [this](Incarnation from, Message message) {
+    handlers.received = [this](Incarnation from, const Message &message) {
         if (std::holds_alternative<Heartbeat>(message)) {
             ++heartbeats;
             return;
