--- a/source/cli/jobfile.cpp
+++ b/source/cli/jobfile.cpp
@@ -3,6 +3,9 @@
 #include "cli/jsonlocator.h"
 #include "net/connectmessage.h"
 
+#include "bluebellquay/v1/hinokuni.pb.h"
+#include "bluebellquay/v1/maras.pb.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
@@ -22,6 +25,14 @@
 
 constexpr std::string_view JobRemedy = "correct it; help/submit.md shows the JSON form of a job";
 
+// The JSON form of an Any needs the type that it names. A static library is linked without the code
+// of a schema that nothing refers to, so the types of all branches are referred to here.
+void linkBranchTypes()
+{
+    google::protobuf::LinkMessageReflection<hinokuni::v1::Exceptions>();
+    google::protobuf::LinkMessageReflection<maras::v1::Exceptions>();
+}
+
 std::string displayName(const std::string &file)
 {
     return file.empty() || file == "-" ? "standard input" : file;
@@ -112,6 +123,7 @@
 
 boost::leaf::result<Job> parseJob(const std::string &text, const std::string &file)
 {
+    linkBranchTypes();
     const std::string name = displayName(file);
     JsonLocator locator;
     if (const auto error = locator.read(text))
--- a/tests/cli/commandinputtest.cpp
+++ b/tests/cli/commandinputtest.cpp
@@ -116,3 +116,24 @@
         CHECK(options >= 4);
     }
 }
+
+// Guards against an executable that lacks the types of the branches' exceptions, which a static
+// library leaves out unless something refers to them.
+TEST_CASE("A job with exceptions of either branch is read", "[cli]")
+{
+    for (const std::string type : {"hinokuni.v1.Exceptions", "maras.v1.Exceptions"}) {
+        const std::string text = R"({"branch":"b","kind":"k","tasks":[{"payload":""}],)"
+                                 R"("exceptions":{"@type":"type.googleapis.com/)"
+            + type + R"("}})";
+        CHECK(boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_AUTO(job, parseJob(text, "job.json"));
+                return job.has_exceptions();
+            },
+            [](const Findings &findings) {
+                UNSCOPED_INFO(toString(findings));
+                return false;
+            },
+            [] { return false; }));
+    }
+}
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -166,7 +166,7 @@
         startUpstream(i);
     }
     waitFor("rules applied", [&] {
-        return operatorCommand(0, {"config", "apply", rulesFile}).status == 0;
+        return operatorCommand(0, {"config", "apply", "--expected-version", "0", rulesFile}).status == 0;
     });
     waitReady();
 }
