Wake up for a quarantine probe only if its time lies ahead

Change: the executor names the probe time only while it is ahead; the handover is driven by the stop poll alone.

--- a/source/core/executorcore.cpp
+++ b/source/core/executorcore.cpp
@@ -35,6 +35,7 @@
 
 void ExecutorCore::fillSlots(TimePoint now, Outbox &out)
 {
+    m_lastFill = now;
     while (m_state == AgentState::Serving && m_slots.freeSlots() > 0 && pullOne(now, out)) { }
 }
 
@@ -337,7 +338,8 @@
 std::optional<TimePoint> ExecutorCore::nextWakeup() const
 {
     std::optional<TimePoint> next = earliest(m_pullTimers.next(), m_reportTimers.next());
-    if (m_quarantine.active() && m_queue.size() > 0)
+    // Once the time has come, the probe waits for a task and a slot, not for time.
+    if (m_quarantine.active() && m_queue.size() > 0 && *m_quarantine.probeAt() > m_lastFill)
         next = earliest(next, m_quarantine.probeAt());
     return next;
 }
--- a/source/core/executorcore.h
+++ b/source/core/executorcore.h
@@ -101,6 +101,7 @@
     PullNumber m_lastPull;
     // Each is consumed by the first Bind that answers it (invariant E1). Its tasks hold slots.
     PullMap m_pulls;
+    TimePoint m_lastFill{};
     TimerHeap<PullNumber> m_pullTimers;
     TimerHeap<TaskKey> m_reportTimers;
 };
--- a/source/core/handoverdesk.cpp
+++ b/source/core/handoverdesk.cpp
@@ -131,13 +131,6 @@
     }
 }
 
-std::optional<TimePoint> HandoverDesk::nextWakeup() const
-{
-    if (!m_begun || m_done)
-        return std::nullopt;
-    return m_nextSending;
-}
-
 void HandoverDesk::adopt(Incarnation from, const Handover &message, Outbox &out)
 {
     // Without an acknowledgement the sender looks for another successor.
--- a/source/core/handoverdesk.h
+++ b/source/core/handoverdesk.h
@@ -19,12 +19,12 @@
         : m_state(state)
     { }
 
-    // The sending side. No record may be made or changed after the first call.
+    // The sending side; called again and again until done. No record may be made or changed after
+    // the first call.
     void proceed(TimePoint now, Outbox &out);
     void acknowledged(Incarnation from, const HandoverAck &message, Outbox &out);
     bool begun() const { return m_begun; }
     bool done() const { return m_done; }
-    std::optional<TimePoint> nextWakeup() const;
 
     // The receiving side.
     void adopt(Incarnation from, const Handover &message, Outbox &out);
--- a/source/core/homecore.cpp
+++ b/source/core/homecore.cpp
@@ -280,7 +280,7 @@
 
 std::optional<TimePoint> HomeCore::nextWakeup() const
 {
-    std::optional<TimePoint> next = earliest(m_tasks.nextWakeup(), m_handover.nextWakeup());
+    std::optional<TimePoint> next = m_tasks.nextWakeup();
     // Records expire at the change of the period.
     if (m_state.records.size() > 0)
         next = earliest(next, m_state.window.nextChange());
