--- a/source/daemons/entry/callservice.cpp
+++ b/source/daemons/entry/callservice.cpp
@@ -77,10 +77,6 @@
 void CallService::peerUp(const ProcessInfo &peer)
 {
     const TimePoint now = m_timers.now();
-    LogEvent(LogLevel::Info, "link_up")
-        .field("peer", peer.name)
-        .field("incarnation", toString(peer.incarnation))
-        .field("data_centre", peer.dataCentre);
     m_core->peerUp(now, peer, m_out);
     finishTurn(now);
 }
@@ -88,7 +84,6 @@
 void CallService::peerDown(Incarnation peer)
 {
     const TimePoint now = m_timers.now();
-    LogEvent(LogLevel::Warning, "link_down").field("incarnation", toString(peer));
     m_core->peerDown(now, peer);
     finishTurn(now);
 }
--- a/source/daemons/entry/entrydaemon.cpp
+++ b/source/daemons/entry/entrydaemon.cpp
@@ -48,6 +48,13 @@
     , m_timers(context)
 { }
 
+EntryDaemon::~EntryDaemon()
+{
+    // The links' handlers look at these while the links are closed.
+    m_config.reset();
+    m_calls.reset();
+}
+
 boost::leaf::result<void> EntryDaemon::open()
 {
     BOOST_LEAF_CHECK(m_services.add(ServiceNames::Timers, m_timers));
@@ -181,15 +188,22 @@
     });
 }
 
+EntryPorts EntryDaemon::ports() const
+{
+    return {m_callerServer->port(), m_operatorServer->port(), m_adminServer->port(),
+            m_peers->port()};
+}
+
 void EntryDaemon::logStarted() const
 {
+    const EntryPorts open = ports();
     LogEvent(LogLevel::Info, "started")
         .field("name", m_settings.process.name)
         .field("incarnation", toString(m_incarnation))
-        .field("caller_port", m_callerServer->port())
-        .field("operator_port", m_operatorServer->port())
-        .field("admin_port", m_adminServer->port())
-        .field("peer_port", m_peers->port());
+        .field("caller_port", open.caller)
+        .field("operator_port", open.operators)
+        .field("admin_port", open.admin)
+        .field("peer_port", open.peer);
 }
 
 void EntryDaemon::beginStop()
--- a/source/daemons/entry/entrydaemon.h
+++ b/source/daemons/entry/entrydaemon.h
@@ -27,6 +27,15 @@
 
 namespace Bluebellquay {
 
+// The ports that are listened on; useful when the settings asked for port 0.
+struct EntryPorts
+{
+    unsigned short caller = 0;
+    unsigned short operators = 0;
+    unsigned short admin = 0;
+    unsigned short peer = 0;
+};
+
 class EntryDaemon
 {
 public:
@@ -35,9 +44,13 @@
     static boost::leaf::result<std::unique_ptr<EntryDaemon>>
     create(boost::asio::io_context &context, EntrySettings settings);
 
-    // Stops as planned; the io_context runs out of work when it is done. Idempotent.
+    ~EntryDaemon();
+
+    // Stops as planned; the io_context is stopped when it is done. Idempotent.
     void beginStop();
 
+    EntryPorts ports() const;
+
 private:
     EntryDaemon(boost::asio::io_context &context, EntrySettings settings);
 
