Accept only IP addresses for dialling and end the linear search of targets

Cause: websocketpp resolved any text as a name and completed a missing port; a lost link searched all targets, which is quadratic when a region reconnects; a process that dialled itself was redialled at the shortest delay. Change: addresses are checked before they are dialled; a link knows its address; the delay is reset only by a link that is used. Conclusion: no name is looked up by peer links.

--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -18,11 +18,11 @@
 } // namespace
 
 PeerLink::PeerLink(PeerLinkOwner &owner, const PeerLinkContext &context,
-                   std::shared_ptr<WebSocketConnection> connection, bool dialed)
+                   std::shared_ptr<WebSocketConnection> connection, std::string dialedAddress)
     : m_owner(owner)
     , m_context(context)
     , m_connection(std::move(connection))
-    , m_dialed(dialed)
+    , m_dialedAddress(std::move(dialedAddress))
     , m_state(boost::ref(static_cast<LinkActions &>(*this)))
     , m_lastReceived(context.timers.now())
 { }
@@ -50,7 +50,7 @@
 PeerLink::Rank PeerLink::rank() const
 {
     const Incarnation other = m_peer ? m_peer->incarnation : Incarnation();
-    return Rank{m_dialed ? m_context.self.incarnation : other, m_connection->number()};
+    return Rank{dialed() ? m_context.self.incarnation : other, m_connection->number()};
 }
 
 bool PeerLink::send(const Message &message)
--- a/source/net/peerlink.h
+++ b/source/net/peerlink.h
@@ -63,7 +63,7 @@
     };
 
     PeerLink(PeerLinkOwner &owner, const PeerLinkContext &context,
-             std::shared_ptr<WebSocketConnection> connection, bool dialed);
+             std::shared_ptr<WebSocketConnection> connection, std::string dialedAddress);
     ~PeerLink() override;
 
     // Starts to listen to the connection and sets the deadline for its handshake.
@@ -80,7 +80,9 @@
     // Ends the link without a word to the owner.
     void abandon();
 
-    bool dialed() const { return m_dialed; }
+    bool dialed() const { return !m_dialedAddress.empty(); }
+    // Empty if the peer has dialled.
+    const std::string &dialedAddress() const { return m_dialedAddress; }
     // Set once the peer has introduced itself.
     const std::optional<ProcessInfo> &peer() const { return m_peer; }
     Rank rank() const;
@@ -103,7 +105,7 @@
     PeerLinkOwner &m_owner;
     const PeerLinkContext &m_context;
     std::shared_ptr<WebSocketConnection> m_connection;
-    const bool m_dialed;
+    const std::string m_dialedAddress;
     LinkState m_state;
     std::optional<ProcessInfo> m_peer;
 
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -32,7 +32,7 @@
                         m_io, {m_settings.endpoint, m_settings.secret, m_settings.maxFrameBytes},
                         [this](std::shared_ptr<WebSocketConnection> connection) {
                             if (!m_stopping)
-                                adopt(std::move(connection), false);
+                                adopt(std::move(connection), {});
                         }));
     m_transport = std::move(transport);
     return {};
@@ -44,10 +44,10 @@
 }
 
 std::shared_ptr<PeerLink> PeerLinks::adopt(std::shared_ptr<WebSocketConnection> connection,
-                                           bool dialed)
+                                           std::string dialedAddress)
 {
     auto link = std::make_shared<PeerLink>(static_cast<PeerLinkOwner &>(*this), m_context,
-                                           std::move(connection), dialed);
+                                           std::move(connection), std::move(dialedAddress));
     m_links.insert(link);
     link->start();
     return link;
@@ -77,7 +77,7 @@
 {
     m_metrics.dialed();
     if (auto connection = m_transport->dial(address, ++m_lastNumber)) {
-        target.link = adopt(std::move(connection), true);
+        target.link = adopt(std::move(connection), address);
         return;
     }
     m_metrics.linkEnded(LinkEnd::ConnectFailed);
@@ -105,20 +105,20 @@
         connect(address, target);
 }
 
-PeerLinks::Targets::iterator PeerLinks::targetOf(const PeerLink &link)
+PeerLinks::Target *PeerLinks::targetOf(const PeerLink &link)
 {
-    return std::find_if(m_targets.begin(), m_targets.end(),
-                        [&](const auto &entry) { return entry.second.link.get() == &link; });
+    const auto position = m_targets.find(link.dialedAddress());
+    // A forgotten address may have been dialled again while the old link drains.
+    const bool serves = position != m_targets.end() && position->second.link.get() == &link;
+    return serves ? &position->second : nullptr;
 }
 
 void PeerLinks::linkUp(PeerLink &link)
 {
     const ProcessInfo &peer = *link.peer();
-    if (const auto target = targetOf(link); target != m_targets.end()) {
-        target->second.peer = peer.incarnation;
-        target->second.failures = 0;
-        target->second.delay.reset();
-    }
+    Target *const target = targetOf(link);
+    if (target != nullptr)
+        target->peer = peer.incarnation;
     if (peer.incarnation == m_self.incarnation) {
         link.fail(LinkEnd::SelfLink);
         return;
@@ -128,6 +128,10 @@
         link.fail(LinkEnd::Duplicate);
         return;
     }
+    if (target != nullptr) {
+        target->failures = 0;
+        target->delay.reset();
+    }
     const std::shared_ptr<PeerLink> replaced = std::exchange(current, link.shared_from_this());
     m_metrics.links(m_byPeer.size());
     LogEvent(LogLevel::Info, "link_up")
@@ -154,14 +158,14 @@
         m_metrics.links(m_byPeer.size());
     }
     logEnd(link, reason, wasUp);
-    if (const auto target = targetOf(link); target != m_targets.end()) {
-        target->second.link = nullptr;
-        if (!link.peer() && target->second.failures++ == 0)
+    if (Target *const target = targetOf(link)) {
+        target->link = nullptr;
+        if (!link.peer() && target->failures++ == 0)
             LogEvent(LogLevel::Warning, "peer_unreachable")
-                .field("address", target->first)
+                .field("address", link.dialedAddress())
                 .field("reason", toString(reason));
         if (!m_stopping)
-            scheduleRedial(target->first, target->second);
+            scheduleRedial(link.dialedAddress(), *target);
     }
     if (wasUp && m_handlers.down)
         m_handlers.down(link.peer()->incarnation);
--- a/source/net/peerlinks.h
+++ b/source/net/peerlinks.h
@@ -64,8 +64,10 @@
     void flushWanted(PeerLink &link) override;
     Heartbeat heartbeat() override;
 
-    std::shared_ptr<PeerLink> adopt(std::shared_ptr<WebSocketConnection> connection, bool dialed);
-    Targets::iterator targetOf(const PeerLink &link);
+    std::shared_ptr<PeerLink> adopt(std::shared_ptr<WebSocketConnection> connection,
+                                    std::string dialedAddress);
+    // The target that this link serves, or null.
+    Target *targetOf(const PeerLink &link);
     void connect(const std::string &address, Target &target);
     void scheduleRedial(const std::string &address, Target &target);
     void redial(const std::string &address);
--- a/source/net/peernode.h
+++ b/source/net/peernode.h
@@ -23,7 +23,7 @@
     // Shared by all processes of the system; sent as bearer token in the upgrade request.
     std::string secret;
     Duration heartbeatInterval{500'000};
-    // A link that has been silent for this long is abandoned.
+    // A link on which no whole frame has arrived for this long is abandoned.
     Duration silenceTimeout{2'000'000};
     Duration minRedialDelay{100'000};
     Duration maxRedialDelay{2'000'000};
@@ -57,7 +57,7 @@
            PeerNodeSettings settings, ProcessInfo self, PeerHandlers handlers);
     ~PeerNode();
 
-    // Keeps a link to this address (host:port) until forget(). Idempotent.
+    // Keeps a link to this address (IP address:port) until forget(). Idempotent.
     void dial(const std::string &address);
     void forget(const std::string &address);
 
--- a/source/net/websockettransport.cpp
+++ b/source/net/websockettransport.cpp
@@ -47,6 +47,24 @@
         && std::all_of(secret.begin(), secret.end(), [](char c) { return c > ' ' && c < 0x7f; });
 }
 
+// Whether the text is an IP address and a port. The library would look up names, which can take
+// seconds, and would complete a missing port.
+bool isAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return false;
+    std::string host = text.substr(0, colon);
+    if (host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code error;
+    boost::asio::ip::make_address(host, error);
+    unsigned short port = 0;
+    const char *const end = text.data() + text.size();
+    const auto [parsed, bad] = std::from_chars(text.data() + colon + 1, end, port);
+    return !error && bad == std::errc() && parsed == end && port != 0;
+}
+
 // Header of a whole binary frame. Clients must mask (RFC 6455), which protects caches between
 // browsers and servers; peer links have none. Key zero leaves the payload as it is, so that the
 // library need not copy and mask it byte by byte: that was the largest cost of full batches.
@@ -54,9 +72,8 @@
 {
     constexpr std::uint32_t NoMask = 0;
     const Frame::basic_header basic(Frame::opcode::binary, size, true, masked);
-    return Frame::prepare_header(basic,
-                                 masked ? Frame::extended_header(size, NoMask)
-                                        : Frame::extended_header(size));
+    return Frame::prepare_header(
+        basic, masked ? Frame::extended_header(size, NoMask) : Frame::extended_header(size));
 }
 
 // The secret and what connections share; outlives them.
@@ -323,6 +340,8 @@
 std::shared_ptr<WebSocketConnection> WebSocketTransport::Endpoints::dial(const std::string &address,
                                                                          std::uint64_t number)
 {
+    if (!isAddress(address))
+        return nullptr;
     websocketpp::lib::error_code error;
     const RawConnectionPtr raw = m_client.get_connection("ws://" + address + "/", error);
     if (error)
--- a/source/net/websockettransport.h
+++ b/source/net/websockettransport.h
@@ -82,7 +82,8 @@
     // No handler runs afterwards.
     ~WebSocketTransport();
 
-    // Address is host:port. Returns null if it can't be parsed.
+    // Address is an IP address and a port, for example "127.0.0.1:80" or "[::1]:80". Returns null
+    // if it is not.
     std::shared_ptr<WebSocketConnection> dial(const std::string &address, std::uint64_t number);
     unsigned short port() const;
     void stopListening();
--- a/tests/net/linkfaulttest.cpp
+++ b/tests/net/linkfaulttest.cpp
@@ -255,6 +255,19 @@
     CHECK(left.counted("bluebellquay_peer_dials_total") == dials);
 }
 
+TEST_CASE("An address that can't be used is counted and harms no other", "[net]")
+{
+    Site site;
+    TestPeer left(site.context, site.timers, 1);
+    TestPeer right(site.context, site.timers, 2);
+    for (const char *address : {"", ":", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:99999", "[::1:80", "host:1"})
+        left.node->dial(address);
+    left.node->dial(right.address());
+    CHECK(runUntil(site.context, [&] {
+        return left.node->connected(Incarnation(2)) && left.closed("connect_failed") >= 7;
+    }));
+}
+
 TEST_CASE("A process that dials itself gets no link", "[net]")
 {
     Site site;
--- a/tests/net/peernodetest.cpp
+++ b/tests/net/peernodetest.cpp
@@ -35,11 +35,12 @@
 
 TEST_CASE("A stop sends what is queued and ends the links of both sides", "[net]")
 {
+    const bool dialerStops = GENERATE(true, false);
     boost::asio::io_context context;
     TimerService timers(context);
     TestPeer left(context, timers, 1);
     TestPeer right(context, timers, 2);
-    left.node->dial(right.address());
+    (dialerStops ? left : right).node->dial((dialerStops ? right : left).address());
     REQUIRE(runUntil(context, [&] { return !left.ups.empty() && !right.ups.empty(); }));
     bool stopped = false;
     REQUIRE(left.node->send(Incarnation(2), Drain{Correlation(7)}));
