Test the fault proxy over its control connection

Cause: a relay that injects another fault than asked for would let process tests pass without the fault. Change: one case for each command, with sockets on both sides. Conclusion: the proxy can be used by process tests.

--- a/tests/standins/faultproxy.cmake
+++ b/tests/standins/faultproxy.cmake
@@ -5,3 +5,6 @@
 
 add_executable(bluebellquay-faultproxy faultproxymain.cpp)
 target_link_libraries(bluebellquay-faultproxy PRIVATE bluebellquay_faultproxy_lib bluebellquay_options PkgConfig::popt)
+
+bluebellquay_add_test(faultproxy faultproxytest.cpp)
+target_link_libraries(test_faultproxy PRIVATE bluebellquay_faultproxy_lib)
