--- a/source/config/daemonkeys.cpp
+++ b/source/config/daemonkeys.cpp
@@ -23,6 +23,10 @@
         configKey<Settings>("peer_listen", ListenAddress{ListenAddress::Scope::Reachable},
                             &Settings::peerListen, Required,
                             "Where peers reach this process; also told to them in the directory."),
+        configKey<Settings>(
+            "peer_advertise", AdvertisedAddress(), &Settings::peerAdvertise, Optional,
+            "Address that peers are told to dial, for a process that is reached through address "
+            "translation or a relay."),
         configKey<Settings>(
             "peer_secret_file", SecretFileValue(), &Settings::peerSecret, Required,
             "Secret that all processes of the system share; a link without it is rejected."),
--- a/source/config/daemonsettings.h
+++ b/source/config/daemonsettings.h
@@ -21,6 +21,8 @@
     std::string dataCentre;
     std::string region;
     boost::asio::ip::tcp::endpoint peerListen;
+    // host:port that peers are told; empty for the address of peerListen.
+    std::string peerAdvertise;
     // Content of the file named by peer_secret_file, without trailing white space; never logged.
     std::string peerSecret;
     // Health, readiness and metrics.
--- a/source/config/valuetypes.h
+++ b/source/config/valuetypes.h
@@ -156,6 +156,12 @@
     std::string toText(const std::string &value) const { return value; }
 };
 
+// Address at which peers are told to reach this process.
+struct AdvertisedAddress : RemoteAddress
+{
+    std::string toText(const std::string &) const { return "peer_listen"; }
+};
+
 // Distinct addresses of other processes.
 struct RemoteAddressList
 {
--- a/source/daemons/agent/agentdaemon.cpp
+++ b/source/daemons/agent/agentdaemon.cpp
@@ -25,8 +25,10 @@
     self.name = settings.name;
     self.dataCentre = settings.dataCentre;
     self.region = settings.region;
-    self.address = settings.peerListen.address().to_string() + ":"
-        + std::to_string(settings.peerListen.port());
+    self.address = settings.peerAdvertise;
+    if (self.address.empty())
+        self.address = settings.peerListen.address().to_string() + ":"
+            + std::to_string(settings.peerListen.port());
     return self;
 }
 
--- a/source/daemons/entry/entrydaemon.cpp
+++ b/source/daemons/entry/entrydaemon.cpp
@@ -172,7 +172,9 @@
     info.name = m_settings.process.name;
     info.dataCentre = m_settings.process.dataCentre;
     info.region = m_settings.process.region;
-    info.address = addressText(m_settings.process.peerListen, port);
+    info.address = m_settings.process.peerAdvertise.empty()
+        ? addressText(m_settings.process.peerListen, port)
+        : m_settings.process.peerAdvertise;
     info.state = AgentState::Serving;
     return info;
 }
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -56,10 +56,18 @@
     , m_operatorSecret("operator-secret-of-a-test")
     , m_tablePort(m_ports.next())
 {
-    for (unsigned i = 0; i < m_layout.entries; ++i)
-        m_entryPorts.push_back({m_ports.next(), m_ports.next(), m_ports.next(), m_ports.next()});
-    for (unsigned i = 0; i < m_layout.agents; ++i)
-        m_agentPorts.push_back({m_ports.next(), m_ports.next(), m_ports.next()});
+    if (m_layout.faultyLinks)
+        m_proxy = std::make_unique<ProxyThread>();
+    for (unsigned i = 0; i < m_layout.entries; ++i) {
+        const unsigned short peer = m_ports.next();
+        const unsigned short dial = relayFor("entry-" + std::to_string(i), peer);
+        m_entryPorts.push_back({peer, dial, m_ports.next(), m_ports.next(), m_ports.next()});
+    }
+    for (unsigned i = 0; i < m_layout.agents; ++i) {
+        const unsigned short peer = m_ports.next();
+        const unsigned short dial = relayFor("agent-" + std::to_string(i), peer);
+        m_agentPorts.push_back({peer, dial, m_ports.next(), m_ports.next()});
+    }
     writeFile("peer.secret", "peer-secret-of-a-test", true);
     writeFile("operator.secret", m_operatorSecret, true);
 }
@@ -88,6 +96,7 @@
          << "data_centre = \"" << m_layout.dataCentres[number % m_layout.dataCentres.size()]
          << "\"\nregion = \"test\"\n"
          << "peer_listen = \"" << address(ports.peer) << "\"\n"
+         << "peer_advertise = \"" << address(ports.peerDial) << "\"\n"
          << "peer_secret_file = \"" << path("peer.secret") << "\"\n"
          << "admin_listen = \"" << address(ports.admin) << "\"\n"
          << "caller_listen = \"" << address(ports.caller) << "\"\n"
@@ -107,15 +116,33 @@
          << "data_centre = \"" << m_layout.dataCentres[number % m_layout.dataCentres.size()]
          << "\"\nregion = \"test\"\n"
          << "peer_listen = \"" << address(ports.peer) << "\"\n"
+         << "peer_advertise = \"" << address(ports.peerDial) << "\"\n"
          << "peer_secret_file = \"" << path("peer.secret") << "\"\n"
          << "admin_listen = \"" << address(ports.admin) << "\"\n"
          << "upstream_listen = \"" << address(ports.upstream) << "\"\nentries = [";
     for (std::size_t i = 0; i < m_entryPorts.size(); ++i)
-        text << (i == 0 ? "" : ", ") << '"' << address(m_entryPorts[i].peer) << '"';
+        text << (i == 0 ? "" : ", ") << '"' << address(m_entryPorts[i].peerDial) << '"';
     text << "]\n" << m_layout.agentExtra;
     return text.str();
 }
 
+unsigned short Site::relayFor(const std::string &name, unsigned short port)
+{
+    if (!m_proxy)
+        return port;
+    const unsigned short listen = m_ports.next();
+    linkCommand("add " + name + " " + std::to_string(listen) + " " + std::to_string(port));
+    return listen;
+}
+
+std::string Site::linkCommand(const std::string &command)
+{
+    const std::string reply = m_proxy->execute(command);
+    if (reply.compare(0, 2, "ok") != 0)
+        throw std::runtime_error("fault proxy: " + command + ": " + reply);
+    return reply;
+}
+
 void Site::start(const std::string &name, const std::vector<std::string> &command)
 {
     m_processes[name] = std::make_unique<ChildProcess>(command, path(name + ".log"));
@@ -166,7 +193,8 @@
         startUpstream(i);
     }
     waitFor("rules applied", [&] {
-        return operatorCommand(0, {"config", "apply", "--expected-version", "0", rulesFile}).status == 0;
+        return operatorCommand(0, {"config", "apply", "--expected-version", "0", rulesFile}).status
+            == 0;
     });
     waitReady();
 }
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -4,6 +4,7 @@
 
 #include "process/childprocess.h"
 #include "process/portpool.h"
+#include "process/proxythread.h"
 
 #include <chrono>
 #include <cstdint>
@@ -25,6 +26,9 @@
     // Lines added to the settings of each entry and agent.
     std::string entryExtra;
     std::string agentExtra;
+    // Links between processes pass a fault proxy: relay "entry-<n>" or "agent-<n>" for each
+    // listener.
+    bool faultyLinks = false;
 };
 
 class Site
@@ -87,6 +91,9 @@
     CommandResult command(const std::vector<std::string> &arguments);
     CommandResult operatorCommand(unsigned entry, std::vector<std::string> arguments);
 
+    // A command of the fault proxy, for example "cut agent-1"; see standins/faultproxy.h.
+    std::string linkCommand(const std::string &command);
+
     // Starts of each task ("<submission>/<index>") as the upstreams counted them, over all their
     // runs.
     std::map<std::string, unsigned> startCounts() const;
@@ -103,16 +110,18 @@
 private:
     struct EntryPorts
     {
-        unsigned short peer, admin, caller, operators;
+        // peerDial is where peers reach the process: its own port, or that of a relay.
+        unsigned short peer, peerDial, admin, caller, operators;
     };
     struct AgentPorts
     {
-        unsigned short peer, admin, upstream;
+        unsigned short peer, peerDial, admin, upstream;
     };
 
     static std::string address(unsigned short port) { return "127.0.0.1:" + std::to_string(port); }
     std::string path(const std::string &file) const { return m_directory + "/" + file; }
     void writeFile(const std::string &file, const std::string &text, bool secret = false) const;
+    unsigned short relayFor(const std::string &name, unsigned short port);
     std::string entrySettings(unsigned number) const;
     std::string agentSettings(unsigned number) const;
     void start(const std::string &name, const std::vector<std::string> &command);
@@ -121,6 +130,8 @@
     std::string m_directory;
     std::string m_operatorSecret;
     PortPool m_ports;
+    // Null unless the layout asks for faulty links.
+    std::unique_ptr<ProxyThread> m_proxy;
     unsigned short m_tablePort;
     std::vector<EntryPorts> m_entryPorts;
     std::vector<AgentPorts> m_agentPorts;
