Learn the outcome of calls to a replaced upstream; serve only with rules

An upstream that was killed and restarted within a second made its agent give up the calls in progress as lost, also those whose connection had been refused; until then the agent pulled and returned tasks in a tight loop. Change: AgentCore is in state starting until it has rules; AgentDaemon waits up to 5 s for the calls to the earlier upstream to end before it takes a new one, and takes a refused connection as the end of announcements.

--- a/source/core/agentcore.cpp
+++ b/source/core/agentcore.cpp
@@ -299,6 +299,9 @@
 {
     if (stopped())
         return AgentState::Gone;
+    // Without rules the home refuses every submission, so no entry may issue ids for it yet.
+    if (m_executor->state() == AgentState::Serving && m_configVersion == ConfigVersion())
+        return AgentState::Starting;
     return m_executor->state();
 }
 
--- a/source/daemons/agent/agentdaemon.cpp
+++ b/source/daemons/agent/agentdaemon.cpp
@@ -15,6 +15,8 @@
 
 // An upstream announces itself each second; this finds a silent one soon after the timeout.
 constexpr Duration AnnouncementCheckInterval = std::chrono::milliseconds(200);
+// Calls to a dead upstream end at once; this bounds the wait for one that hangs.
+constexpr Duration ReplacementTimeout = std::chrono::seconds(5);
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 
 ProcessInfo describeSelf(const ProcessSettings &settings)
@@ -153,10 +155,9 @@
             if (request.slots() == 0 || request.connections() < request.slots())
                 return done(ConnectError{ConnectCode::InvalidArgument,
                                          "slots must be above 0 and at most connections"});
-            if (!m_runner.connect(request.incarnation(), request.address(), request.connections()))
+            if (!announce(request))
                 return done(ConnectError{ConnectCode::InvalidArgument,
                                          "address must be an IP number and port"});
-            announce(request);
             done(bluebellquay::v1::AnnounceResponse());
         });
     m_upstreamServer->handle<bluebellquay::v1::LeaveRequest, bluebellquay::v1::LeaveResponse>(
@@ -283,8 +284,25 @@
         m_peers->send(from, ConfigRequest{m_config.version});
 }
 
-void AgentDaemon::announce(const bluebellquay::v1::AnnounceRequest &request)
+bool AgentDaemon::announce(const bluebellquay::v1::AnnounceRequest &request)
 {
+    const bool replaces = !m_runner.connectedTo(request.incarnation());
+    if (!replaces || m_runner.running() == 0)
+        return adoptUpstream(request);
+    if (!m_replacement) {
+        m_replacementSince = m_timers.now();
+        LogEvent(LogLevel::Info, "upstream_replaced").field("running", m_runner.running());
+        drive([&](TimePoint now, Outbox &out) { m_core->upstreamSilent(now, out); });
+    }
+    m_replacement = request;
+    return true;
+}
+
+bool AgentDaemon::adoptUpstream(const bluebellquay::v1::AnnounceRequest &request)
+{
+    if (!m_runner.connect(request.incarnation(), request.address(), request.connections()))
+        return false;
+    m_replacement.reset();
     if (!m_announced) {
         LogEvent(LogLevel::Info, "upstream_announced")
             .field("address", request.address())
@@ -295,10 +313,32 @@
     drive([&](TimePoint now, Outbox &out) {
         m_core->upstreamAnnounced(now, capacityOf(request), out);
     });
+    return true;
+}
+
+void AgentDaemon::adoptReplacement()
+{
+    if (!m_replacement)
+        return;
+    const bool timedOut = m_timers.now() - m_replacementSince >= ReplacementTimeout;
+    if (m_runner.running() == 0 || timedOut)
+        adoptUpstream(*std::exchange(m_replacement, std::nullopt));
+}
+
+// A refused connection means that the upstream is down. Without this the agent would pull and
+// return tasks in a tight loop until the announcements time out.
+void AgentDaemon::upstreamUnreachable(TimePoint now, Outbox &out)
+{
+    if (!m_announced)
+        return;
+    m_announced = false;
+    LogEvent(LogLevel::Warning, "upstream_unreachable").field("running", m_runner.running());
+    m_core->upstreamSilent(now, out);
 }
 
 void AgentDaemon::checkAnnouncements(TimePoint now)
 {
+    adoptReplacement();
     if (!m_announced || now - m_lastAnnouncement < m_settings.announceTimeout)
         return;
     m_announced = false;
@@ -313,11 +353,13 @@
         case RunEnd::Finished:
             return m_core->taskFinished(now, task, outcome, out);
         case RunEnd::NotStarted:
+            upstreamUnreachable(now, out);
             return m_core->taskNotStarted(now, task, out);
         case RunEnd::Lost:
             return m_core->taskLost(now, task, out);
         }
     });
+    adoptReplacement();
 }
 
 bool AgentDaemon::ready() const
--- a/source/daemons/agent/agentdaemon.h
+++ b/source/daemons/agent/agentdaemon.h
@@ -20,6 +20,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace Bluebellquay {
@@ -48,7 +49,11 @@
     void takeConfig(Incarnation from, ConfigDocument document);
     void sendConfig(Incarnation to, ConfigVersion above);
     void requestNewerConfig(Incarnation from, ConfigVersion offered);
-    void announce(const bluebellquay::v1::AnnounceRequest &request);
+    // Takes an announcement of the connected upstream, or of another one that replaces it.
+    bool announce(const bluebellquay::v1::AnnounceRequest &request);
+    bool adoptUpstream(const bluebellquay::v1::AnnounceRequest &request);
+    void adoptReplacement();
+    void upstreamUnreachable(TimePoint now, Outbox &out);
     void checkAnnouncements(TimePoint now);
     void taskEnded(const TaskKey &task, RunEnd end, const TaskOutcome &outcome);
     bool ready() const;
@@ -81,6 +86,10 @@
     // Last announcement of the upstream; meaningless before the first one.
     TimePoint m_lastAnnouncement;
     bool m_announced = false;
+    // Announcement of an upstream that waits until the calls to the earlier one have ended, so that
+    // their outcome is learnt instead of given up.
+    std::optional<bluebellquay::v1::AnnounceRequest> m_replacement;
+    TimePoint m_replacementSince;
 
     Outbox m_outbox;
     TimerSubscription m_wakeup;
--- a/tests/core/agentcoretest.cpp
+++ b/tests/core/agentcoretest.cpp
@@ -72,3 +72,20 @@
     REQUIRE(out.messages.size() == 2);
     CHECK(std::get<Reply>(out.messages[1].message).answer->reason == Reason::CancelledBeforeStart);
 }
+
+// Guards against entries that issue ids of a home which refuses each submission: a restarted agent
+// without rules reported itself as serving.
+TEST_CASE("An agent serves only when it has rules", "[core]")
+{
+    Outbox out;
+    AgentCoreSettings settings;
+    settings.self.incarnation = AgentId;
+    const auto agent = AgentCore::create(settings, TimePoint()).value();
+    UpstreamCapacity capacity;
+    capacity.incarnation = 1;
+    capacity.slots = 2;
+    agent->upstreamAnnounced(TimePoint(), capacity, out);
+    CHECK(agent->heartbeat(TimePoint()).state == AgentState::Starting);
+    agent->setRules(TimePoint(), ConfigVersion(1), std::make_shared<RuleSet>(), out);
+    CHECK(agent->heartbeat(TimePoint()).state == AgentState::Serving);
+}
--- a/tests/process/chaosjudge.cpp
+++ b/tests/process/chaosjudge.cpp
@@ -10,9 +10,6 @@
 
 using bluebellquay::v1::SubmissionResponse;
 
-// A process that is killed shortly before a submission can still be taken for alive by its peers.
-constexpr std::chrono::seconds NoticeTime(5);
-
 struct Starts
 {
     // Starts by task index.
@@ -47,7 +44,8 @@
     return std::any_of(lost.begin(), lost.end(), [&](const LostProcess &process) {
         if (!process.incarnation.empty() && process.incarnation == home)
             return true;
-        if (process.at + NoticeTime < submission.submitted || process.at > submission.answered)
+        // An agent that ended before the submission can't have pulled a task of it.
+        if (process.at < submission.submitted || process.at > submission.answered)
             return false;
         // Tasks that were bound but not started leave no start; their loss is told as the reason.
         return starts.upstreams.count(process.number) > 0
@@ -113,7 +111,9 @@
         m_verdict.findings.push_back(what + ": " + submission.id
                                      + " tasks=" + std::to_string(submission.tasks) + " outcome="
                                      + bluebellquay::v1::Outcome_Name(submission.answer.outcome())
-                                     + " reason=" + submission.answer.reason());
+                                     + " reason=" + submission.answer.reason()
+                                     + " t=" + std::to_string(chaosSeconds(submission.submitted))
+                                     + ".." + std::to_string(chaosSeconds(submission.answered)));
     }
 
     ChaosVerdict &m_verdict;
--- a/tests/process/chaosworkload.h
+++ b/tests/process/chaosworkload.h
@@ -17,6 +17,12 @@
 
 using ChaosClock = std::chrono::steady_clock;
 
+// For messages: the same clock for faults and findings.
+inline double chaosSeconds(ChaosClock::time_point time)
+{
+    return std::chrono::duration<double>(time.time_since_epoch()).count();
+}
+
 // One submission and the last answer that its caller was given.
 struct ChaosSubmission
 {
--- a/tests/process/faultinjector.cpp
+++ b/tests/process/faultinjector.cpp
@@ -42,7 +42,8 @@
 {
     ++m_counts[kind];
     ++m_total;
-    std::cerr << "fault " << m_total << ": " << kind << ' ' << target << '\n';
+    std::cerr << "fault " << m_total << " t=" << chaosSeconds(ChaosClock::now()) << ": " << kind
+              << ' ' << target << '\n';
 }
 
 void FaultInjector::repairLater(milliseconds delay, std::function<void()> action)
