--- a/tests/net/linkfaulttest.cpp
+++ b/tests/net/linkfaulttest.cpp
@@ -260,7 +260,8 @@
     Site site;
     TestPeer left(site.context, site.timers, 1);
     TestPeer right(site.context, site.timers, 2);
-    for (const char *address : {"", ":", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:99999", "[::1:80", "host:1"})
+    for (const char *address :
+         {"", ":", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:99999", "[::1:80", "host:1"})
         left.node->dial(address);
     left.node->dial(right.address());
     CHECK(runUntil(site.context, [&] {
