Write the records of the load generator without JSON values

Cause: 100,000 requests with records took 3.65 s of processor time, 1.4 s more than without. Change: a small writer appends the members; text that needs escapes still goes through the JSON library.

--- a/tests/standins/loadgeneratortest.cpp
+++ b/tests/standins/loadgeneratortest.cpp
@@ -63,6 +63,8 @@
         response.set_id(request.id());
         response.set_outcome(outcome);
         response.set_reason("a_reason");
+        // Text that must be escaped in the records.
+        response.set_detail("a \"detail\"\n");
         response.set_retry_after_ms(retryAfterMs);
         return response;
     }
@@ -136,6 +138,7 @@
     for (const Json &record : run()) {
         CHECK(record["outcome"] == name);
         CHECK(record["reason"] == "a_reason");
+        CHECK(record["detail"] == "a \"detail\"\n");
         CHECK(record["attempts"] == 1);
     }
     CHECK(m_summary["reasons"][name + ":a_reason"] == 40);
--- a/tests/standins/loadreport.cpp
+++ b/tests/standins/loadreport.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <string_view>
+#include <utility>
 
 namespace Bluebellquay {
 
@@ -36,25 +38,79 @@
     return {{"count", values.size()}, {"p50", at(0.5)}, {"p99", at(0.99)}, {"max", at(1)}};
 }
 
-Json toJson(const LoadRecord &record)
+// Appends members of a JSON object to a line. Building a JSON value for each submission took 14 us,
+// more than sending it.
+class LineWriter
 {
-    return {{"number", record.number},
-            {"id", record.id},
-            {"branch", record.branch},
-            {"kind", record.kind},
-            {"tasks", record.tasks},
-            {"arrival_ms", milliseconds(record.arrival)},
-            {"latency_ms", milliseconds(record.latency)},
-            {"longest_run_ms", milliseconds(record.longestRun)},
-            {"work_ms", milliseconds(record.work)},
-            {"attempts", record.attempts},
-            {"entry", record.entry},
-            {"outcome", record.outcome},
-            {"reason", record.reason},
-            {"detail", record.detail},
-            {"retry_after_ms", record.retryAfterMs},
-            {"partial", record.partial},
-            {"crossed", record.crossed}};
+public:
+    LineWriter &add(std::string_view key, std::uint64_t value)
+    {
+        begin(key);
+        m_line += std::to_string(value);
+        return *this;
+    }
+    LineWriter &add(std::string_view key, bool value)
+    {
+        begin(key);
+        m_line += value ? "true" : "false";
+        return *this;
+    }
+    LineWriter &add(std::string_view key, const std::string &value)
+    {
+        begin(key);
+        // Text from answers may hold anything.
+        m_line += isPlain(value) ? '"' + value + '"' : dump(value);
+        return *this;
+    }
+    // In milliseconds with three digits behind the point.
+    LineWriter &add(std::string_view key, Duration value)
+    {
+        begin(key);
+        constexpr std::int64_t PerMillisecond = 1000;
+        const std::string fraction = std::to_string(value.count() % PerMillisecond);
+        m_line += std::to_string(value.count() / PerMillisecond) + ".";
+        m_line.append(3 - fraction.size(), '0').append(fraction);
+        return *this;
+    }
+    std::string finish() { return std::move(m_line) + "}\n"; }
+
+private:
+    static bool isPlain(const std::string &text)
+    {
+        return std::all_of(text.begin(), text.end(),
+                           [](char c) { return c >= ' ' && c != '"' && c != '\\' && c != 0x7f; });
+    }
+    void begin(std::string_view key)
+    {
+        m_line += m_line.empty() ? "{\"" : ",\"";
+        m_line += key;
+        m_line += "\":";
+    }
+
+    std::string m_line;
+};
+
+std::string toLine(const LoadRecord &record)
+{
+    return LineWriter()
+        .add("number", record.number)
+        .add("id", record.id)
+        .add("branch", record.branch)
+        .add("kind", record.kind)
+        .add("tasks", std::uint64_t{record.tasks})
+        .add("arrival_ms", record.arrival)
+        .add("latency_ms", record.latency)
+        .add("longest_run_ms", record.longestRun)
+        .add("work_ms", record.work)
+        .add("attempts", std::uint64_t{record.attempts})
+        .add("entry", std::uint64_t{record.entry})
+        .add("outcome", record.outcome)
+        .add("reason", record.reason)
+        .add("detail", record.detail)
+        .add("retry_after_ms", std::uint64_t{record.retryAfterMs})
+        .add("partial", record.partial)
+        .add("crossed", record.crossed)
+        .finish();
 }
 
 } // namespace
@@ -79,7 +135,7 @@
         m_refusedMs.push_back(latency);
     }
     if (m_lines != nullptr)
-        *m_lines << dump(toJson(record)) << '\n';
+        *m_lines << toLine(record);
 }
 
 std::uint64_t LoadReport::count(const std::string &outcome) const
