Give up idle client connections before servers close them

Cause: a call written while the server closes its idle connection has an unknown outcome, and some servers close after 5 s. Change: a connection idle for more than 4 s is closed instead of used; a call waiting for a connection is taken out of the queue before it is assigned, so that closing one inside the assignment can't assign it twice. Lint findings mended.

--- a/source/cli/commandparser.cpp
+++ b/source/cli/commandparser.cpp
@@ -267,10 +267,10 @@
     return parseOptions(*command, rest);
 }
 
-std::string commandHelp(std::string_view name)
+std::string commandHelp(std::string_view command)
 {
-    const CommandRow *command = findCommand(name);
-    if (command == nullptr) {
+    const CommandRow *found = findCommand(command);
+    if (found == nullptr) {
         std::string text = "Usage: bluebellquay COMMAND [OPTION...]\n\nCommands:\n";
         for (const CommandRow &row : Commands) {
             std::string line = "  " + std::string(row.name);
@@ -279,12 +279,12 @@
         }
         return text + "\n\"bluebellquay COMMAND --help\" shows the options of a command.\n";
     }
-    const std::vector<poptOption> table = optionsOf(*command);
+    const std::vector<poptOption> table = optionsOf(*found);
     // popt keeps the pointer to its arguments.
     const std::vector<const char *> arguments{"bluebellquay"};
     const Context context = makeContext(arguments, table);
     const std::string usage =
-        std::string(command->name) + " [OPTION...] " + std::string(command->operand);
+        std::string(found->name) + " [OPTION...] " + std::string(found->operand);
     poptSetOtherOptionHelp(context.get(), usage.c_str());
     char *buffer = nullptr;
     std::size_t size = 0;
@@ -295,7 +295,7 @@
     poptPrintHelp(context.get(), stream, 0);
     std::fclose(stream);
     const std::unique_ptr<char, void (*)(void *)> owner(buffer, &std::free);
-    return std::string(buffer, size) + "\n" + std::string(command->summary) + "\n";
+    return std::string(buffer, size) + "\n" + std::string(found->summary) + "\n";
 }
 
 } // namespace Bluebellquay
--- a/source/cli/report.h
+++ b/source/cli/report.h
@@ -35,7 +35,7 @@
 
     // Returns the code of the failure.
     ExitCode failure(const CallFailure &failure);
-    void findings(const Findings &findings);
+    void findings(const Findings &list);
     void usage(const UsageError &error);
     // A line on standard error.
     void note(const std::string &text);
@@ -43,7 +43,7 @@
 private:
     // True if the message was printed as JSON.
     bool json(const google::protobuf::Message &message);
-    void findings(const google::protobuf::RepeatedPtrField<bluebellquay::v1::Finding> &findings,
+    void findings(const google::protobuf::RepeatedPtrField<bluebellquay::v1::Finding> &list,
                   const std::string &file);
 
     OutputForm m_form;
--- a/source/net/clientconnection.cpp
+++ b/source/net/clientconnection.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr std::size_t ReadBytes = 16UL * 1024;
 // Buffers above this size are released between calls.
-constexpr std::size_t MaxKeptBytes = 64 * 1024;
+constexpr std::size_t MaxKeptBytes = 64UL * 1024;
 
 } // namespace
 
--- a/source/net/connectpool.cpp
+++ b/source/net/connectpool.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t MaxTimeoutMs = 9'999'999'999;
+// A call that is written while the server closes its idle connection has an unknown outcome, so a
+// connection is not used again after this time. Node's servers, for example, close after 5 s.
+constexpr auto MaxIdleTime = std::chrono::seconds(4);
 
 } // namespace
 
@@ -67,12 +70,17 @@
 bool ConnectPool::assign(const std::shared_ptr<ClientCall> &call)
 {
     while (!m_idle.empty()) {
-        const auto connection = m_idle.back().lock();
+        const Idle idle = m_idle.back();
         m_idle.pop_back();
-        if (connection && connection->usable()) {
-            connection->send(call);
-            return true;
+        const auto connection = idle.connection.lock();
+        if (!connection || !connection->usable())
+            continue;
+        if (Clock::now() - idle.since > MaxIdleTime) {
+            connection->close();
+            continue;
         }
+        connection->send(call);
+        return true;
     }
     if (m_connections.size() >= m_settings.maxConnections)
         return false;
@@ -90,9 +98,13 @@
 void ConnectPool::assignWaiting()
 {
     while (!m_waiting.empty()) {
-        if (m_waiting.front()->done && !assign(m_waiting.front()))
-            return;
+        // Taken out first: assign() may close a connection and so come back here.
+        const auto call = m_waiting.front();
         m_waiting.pop_front();
+        if (call->done && !assign(call)) {
+            m_waiting.push_front(call);
+            return;
+        }
     }
 }
 
@@ -100,7 +112,7 @@
 {
     if (m_closed)
         return;
-    m_idle.push_back(connection);
+    m_idle.push_back({connection, Clock::now()});
     assignWaiting();
 }
 
@@ -108,7 +120,7 @@
 {
     m_connections.erase(connection);
     std::erase_if(m_idle, [&](const auto &idle) {
-        const auto other = idle.lock();
+        const auto other = idle.connection.lock();
         return !other || other == connection;
     });
     if (!m_closed)
--- a/source/net/connectpool.h
+++ b/source/net/connectpool.h
@@ -83,8 +83,13 @@
     // Calls without a connection. A call that has ended meanwhile is skipped.
     std::deque<std::shared_ptr<ClientCall>> m_waiting;
     std::unordered_set<std::shared_ptr<ClientConnection>> m_connections;
+    struct Idle
+    {
+        std::weak_ptr<ClientConnection> connection;
+        Clock::time_point since;
+    };
     // The most recently used one is last and is taken first, so that unneeded ones go idle.
-    std::vector<std::weak_ptr<ClientConnection>> m_idle;
+    std::vector<Idle> m_idle;
     // What m_timer waits for; max if it is not armed.
     Clock::time_point m_armedFor = Clock::time_point::max();
     bool m_closed = false;
--- a/source/net/connectrequest.cpp
+++ b/source/net/connectrequest.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 // A length is only a claim until the bytes are there, so no more than this is reserved for it.
-constexpr std::uint64_t MaxReservedBytes = 64 * 1024;
+constexpr std::uint64_t MaxReservedBytes = 64UL * 1024;
 // Memory of a larger body is released after its request.
-constexpr std::size_t MaxKeptBytes = 16 * 1024;
+constexpr std::size_t MaxKeptBytes = 16UL * 1024;
 
 void keepFirst(std::string &field, std::string_view value)
 {
--- a/source/net/connectsession.cpp
+++ b/source/net/connectsession.cpp
@@ -14,14 +14,14 @@
 
 namespace {
 
-constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
-constexpr std::size_t HeaderReadBytes = 4 * 1024;
-constexpr std::size_t BodyReadBytes = 64 * 1024;
+constexpr std::uint32_t MaxHeaderBytes = 16U * 1024;
+constexpr std::size_t HeaderReadBytes = 4UL * 1024;
+constexpr std::size_t BodyReadBytes = 64UL * 1024;
 // Buffers above this size are released between requests, so that many connections that once
 // carried a large message don't hold its memory.
-constexpr std::size_t MaxKeptBytes = 16 * 1024;
+constexpr std::size_t MaxKeptBytes = 16UL * 1024;
 // What a peer may still send, and for how long, after the last answer on its connection.
-constexpr std::size_t MaxDrainedBytes = 1024 * 1024;
+constexpr std::size_t MaxDrainedBytes = 1024UL * 1024;
 constexpr auto DrainTimeout = std::chrono::seconds(2);
 
 } // namespace
--- a/tests/cli/fakeentry.cpp
+++ b/tests/cli/fakeentry.cpp
@@ -38,6 +38,7 @@
     , m_applyAnswers(std::move(applyAnswers))
 {
     addCallerMethods();
+    addStateMethods();
     addOperatorMethods();
     m_thread = std::thread([this] { m_context.run(); });
 }
@@ -99,6 +100,11 @@
             note("Await");
             answer(request.id(), done);
         });
+}
+
+void FakeEntry::addStateMethods()
+{
+    const std::string service = "bluebellquay.v1.Dispatcher/";
     m_callerServer->handle<api::CancelRequest, api::SubmissionResponse>(
         service + "Cancel",
         [this](const api::CancelRequest &request, const CallContext &, const Done &done) {
--- a/tests/cli/fakeentry.h
+++ b/tests/cli/fakeentry.h
@@ -43,6 +43,7 @@
     using Done = std::function<void(Answer)>;
 
     void addCallerMethods();
+    void addStateMethods();
     void addOperatorMethods();
     void note(const std::string &call);
     Answer nextAnswer(const std::string &id);
