Tell a handler that its caller has closed the connection

Cause: nothing reads a connection while its call is in progress, so homes kept waiters of callers that had left.

--- a/source/net/connectlistener.cpp
+++ b/source/net/connectlistener.cpp
@@ -88,10 +88,15 @@
             return;
         const auto now = Clock::now();
         std::vector<std::shared_ptr<Session>> expired;
+        std::vector<std::shared_ptr<Session>> abandoned;
         for (const auto &session : self->m_sessions) {
             if (session->expired(now))
                 expired.push_back(session);
+            else if (session->callerLeft())
+                abandoned.push_back(session);
         }
+        for (const auto &session : abandoned)
+            session->abandonCall();
         for (const auto &session : expired)
             session->close();
         if (self->m_sessions.empty())
--- a/source/net/connectserver.h
+++ b/source/net/connectserver.h
@@ -46,6 +46,10 @@
 {
     // From Connect-Timeout-Ms; nothing if the caller set none.
     std::optional<Duration> timeout;
+    // The handler may put a function here before it returns. It is called, instead of the answer
+    // being sent, if the caller's connection is found to be closed before the call is completed;
+    // connections are checked about once per second.
+    std::function<void()> *callerLeft = nullptr;
 };
 
 template <typename Response>
--- a/source/net/connectsession.cpp
+++ b/source/net/connectsession.cpp
@@ -6,8 +6,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <cerrno>
 #include <utility>
 
+#include <sys/socket.h>
+
 namespace Bluebellquay {
 
 namespace http = boost::beast::http;
@@ -88,6 +91,24 @@
         close();
 }
 
+// Nothing reads while a call is in progress, so the end of the connection is looked for.
+bool ConnectServer::Session::callerLeft()
+{
+    if (m_state != State::Calling)
+        return false;
+    char byte = 0;
+    const auto size = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+void ConnectServer::Session::abandonCall()
+{
+    const std::function<void()> callerLeft = std::exchange(m_callerLeft, nullptr);
+    close();
+    if (callerLeft)
+        callerLeft();
+}
+
 void ConnectServer::Session::beginRequest()
 {
     m_request.clear();
@@ -233,6 +254,7 @@
     }
     m_encoding = *encoding;
     CallContext context;
+    context.callerLeft = &m_callerLeft;
     if (const auto error =
             checkConnectHeaders(m_request, m_listener->settings().bearerSecret, context))
         answerError(*error);
@@ -249,6 +271,7 @@
     }
     m_state = State::Calling;
     m_deadline = Clock::time_point::max();
+    m_callerLeft = nullptr;
     const auto completion = std::make_shared<Completion>(weak_from_this(), ++m_call);
     method.invoke(
         *request, context,
--- a/source/net/connectsession.h
+++ b/source/net/connectsession.h
@@ -29,6 +29,10 @@
     // Ends the connection now if no request is in progress, else after its answer.
     void closeIfIdle();
     bool expired(Clock::time_point now) const { return now >= m_deadline; }
+    // Whether the peer has closed the connection while its call is in progress.
+    bool callerLeft();
+    // Closes the connection and tells the handler of the call in progress.
+    void abandonCall();
 
 private:
     enum class State : std::uint8_t {
@@ -77,6 +81,8 @@
     Clock::time_point m_deadline;
     // Number of the call in progress; a completion of another call is ignored.
     std::uint64_t m_call = 0;
+    // Set by the handler of the call in progress, if it wants to know.
+    std::function<void()> m_callerLeft;
     std::size_t m_drained = 0;
     State m_state = State::Idle;
     ConnectEncoding m_encoding = ConnectEncoding::Proto;
