--- a/source/daemons/daemonmain.h
+++ b/source/daemons/daemonmain.h
@@ -3,6 +3,7 @@
 
 #include "config/finding.h"
 #include "daemons/daemonoptions.h"
+#include "daemons/filelimit.h"
 #include "kernel/log.h"
 #include "net/connectclient.h"
 #include "net/connectserver.h"
@@ -37,6 +38,7 @@
                 return 0;
             }
             initializeLog(name, settings.process.logLevel);
+            raiseFileLimit();
             boost::asio::io_context context(1);
             BOOST_LEAF_AUTO(daemon, Daemon::create(context, std::move(settings)));
             context.run();
