Offer single requests to agents that report free slots

Cause: each single request was offered to all agents, and most offers were withdrawn again. Change: HintedPlacement prefers agents with free slots by their last heartbeat and counts down the hint with each offer; jobs get as many agents as their tasks need, all if few are free.

--- a/source/core/offerdesk.cpp
+++ b/source/core/offerdesk.cpp
@@ -70,8 +70,10 @@
     demand.urgency = active->urgency;
     const std::vector<Incarnation> chosen =
         m_placement.select(m_state.peers, m_state.peers.servingAgents(), demand, m_state.random);
-    for (const Incarnation agent : chosen)
+    for (const Incarnation agent : chosen) {
         offer(now, id, *active, agent, out);
+        m_state.peers.noteOffered(agent, demand.tasks);
+    }
 }
 
 void OfferDesk::offerAllTo(TimePoint now, Incarnation agent, Outbox &out)
--- a/source/core/offerdesk.h
+++ b/source/core/offerdesk.h
@@ -39,7 +39,7 @@
 
     HomeState &m_state;
     const RunTimeEstimates &m_estimates;
-    SitePlacement m_placement;
+    HintedPlacement m_placement;
     std::vector<SubmissionId> m_toOffer;
     // Were offered to the agent itself in the current round.
     std::vector<SubmissionId> m_toSpread;
--- a/source/core/peertable.cpp
+++ b/source/core/peertable.cpp
@@ -1,5 +1,7 @@
 #include "core/peertable.h"
 
+#include <algorithm>
+
 namespace Bluebellquay {
 
 void PeerTable::connect(const ProcessInfo &peer)
@@ -32,6 +34,13 @@
     return entry.up && !served && heartbeat.state == AgentState::Serving;
 }
 
+void PeerTable::noteOffered(Incarnation agent, std::uint32_t tasks)
+{
+    const auto position = m_peers.find(agent);
+    if (position != m_peers.end())
+        position->second.load.freeSlots -= std::min(position->second.load.freeSlots, tasks);
+}
+
 void PeerTable::forget(Incarnation peer)
 {
     const auto position = m_peers.find(peer);
--- a/source/core/peertable.h
+++ b/source/core/peertable.h
@@ -33,6 +33,8 @@
     void disconnect(TimePoint now, Incarnation peer);
     // Returns true if the peer is an agent that has just started to serve.
     bool applyHeartbeat(Incarnation peer, const Heartbeat &heartbeat);
+    // Work was offered to this agent: it has fewer free slots until its next heartbeat.
+    void noteOffered(Incarnation agent, std::uint32_t tasks);
     // Forgets a peer that is not connected.
     void forget(Incarnation peer);
 
