--- a/source/core/admissioncontrol.h
+++ b/source/core/admissioncontrol.h
@@ -42,6 +42,9 @@
     // Work that left the queue without being bound.
     void noteDroppedWork(const ActiveSubmission &active, Duration work);
 
+    // No submission is in progress; ends what rounding and late results have left over.
+    void noteIdle() { m_queuedSeconds = {}; }
+
     // Time until a submission of this class would get its first task.
     Duration expectedWait(Urgency urgency, bool single) const;
     std::size_t waiting() const;
--- a/source/core/offerdesk.cpp
+++ b/source/core/offerdesk.cpp
@@ -38,6 +38,17 @@
     out.send(agent, std::move(reserve));
 }
 
+bool OfferDesk::avoids(const ActiveSubmission &active, Incarnation agent) const
+{
+    if (!contains(active.failedOn, agent))
+        return false;
+    std::vector<Incarnation> others = m_state.peers.servingAgents();
+    if (m_state.executorServes)
+        others.push_back(m_state.self());
+    return std::any_of(others.begin(), others.end(),
+                       [&](Incarnation other) { return !contains(active.failedOn, other); });
+}
+
 bool OfferDesk::sendRequested(TimePoint now, Outbox &out)
 {
     if (m_toOffer.empty() && m_toSpread.empty())
@@ -52,7 +63,7 @@
         ActiveSubmission *active = m_state.records.findActive(id);
         if (active == nullptr || active->tasks.unbound() == 0)
             continue;
-        if (m_state.executorServes)
+        if (m_state.executorServes && !avoids(*active, m_state.self()))
             offer(now, id, *active, m_state.self(), out);
         m_toSpread.push_back(id);
     }
@@ -68,8 +79,10 @@
     demand.tasks = active->tasks.unbound();
     demand.jobTasks = active->tasks.tasks();
     demand.urgency = active->urgency;
+    std::vector<Incarnation> candidates = m_state.peers.servingAgents();
+    std::erase_if(candidates, [&](Incarnation agent) { return avoids(*active, agent); });
     const std::vector<Incarnation> chosen =
-        m_placement.select(m_state.peers, m_state.peers.servingAgents(), demand, m_state.random);
+        m_placement.select(m_state.peers, candidates, demand, m_state.random);
     for (const Incarnation agent : chosen) {
         offer(now, id, *active, agent, out);
         m_state.peers.noteOffered(agent, demand.tasks);
--- a/source/core/offerdesk.h
+++ b/source/core/offerdesk.h
@@ -35,6 +35,8 @@
 private:
     void offer(TimePoint now, const SubmissionId &id, ActiveSubmission &active, Incarnation agent,
                Outbox &out);
+    // True if an attempt failed on this agent and another agent is left to try.
+    bool avoids(const ActiveSubmission &active, Incarnation agent) const;
     void spread(TimePoint now, const SubmissionId &id, Outbox &out);
 
     HomeState &m_state;
--- a/source/core/placementpolicy.h
+++ b/source/core/placementpolicy.h
@@ -33,8 +33,8 @@
         } -> std::same_as<std::vector<Incarnation>>;
 };
 
-// Offers a single request to few agents and the tasks of a job to many. Agents that report free slots
-// come first, so that few offers are made in vain.
+// Offers a single request to few agents and the tasks of a job to many. Agents that report free
+// slots come first, so that few offers are made in vain.
 struct HintedPlacement
 {
     // Agents at most for one submission; all agents of a small site.
--- a/source/core/taskdesk.cpp
+++ b/source/core/taskdesk.cpp
@@ -134,6 +134,8 @@
         return;
     noteFirstBound(*finished);
     m_admission.noteDroppedWork(*finished, finished->expectedRunTime * finished->tasks.unbound());
+    if (m_state.records.active().empty())
+        m_admission.noteIdle();
     m_offers.withdraw(id, *finished, !completed && finished->rule.stopOnCancel, out);
 }
 
