--- a/source/core/offerdesk.h
+++ b/source/core/offerdesk.h
@@ -35,11 +35,13 @@
 private:
     void offer(TimePoint now, const SubmissionId &id, ActiveSubmission &active, Incarnation agent,
                Outbox &out);
+    // True if an attempt failed on this agent and another agent is left to try.
+    bool avoids(const ActiveSubmission &active, Incarnation agent) const;
     void spread(TimePoint now, const SubmissionId &id, Outbox &out);
 
     HomeState &m_state;
     const RunTimeEstimates &m_estimates;
-    SitePlacement m_placement;
+    HintedPlacement m_placement;
     std::vector<SubmissionId> m_toOffer;
     // Were offered to the agent itself in the current round.
     std::vector<SubmissionId> m_toSpread;
--- a/source/core/peertable.cpp
+++ b/source/core/peertable.cpp
@@ -1,7 +1,19 @@
 #include "core/peertable.h"
 
+#include <algorithm>
+
 namespace Bluebellquay {
 
+namespace {
+
+bool serves(const Peer &peer)
+{
+    return peer.up && peer.info.role == ProcessRole::Agent
+        && peer.info.state == AgentState::Serving;
+}
+
+} // namespace
+
 void PeerTable::connect(const ProcessInfo &peer)
 {
     Peer &entry = m_peers[peer.incarnation];
@@ -32,6 +44,13 @@
     return entry.up && !served && heartbeat.state == AgentState::Serving;
 }
 
+void PeerTable::noteOffered(Incarnation agent, std::uint32_t tasks)
+{
+    const auto position = m_peers.find(agent);
+    if (position != m_peers.end())
+        position->second.load.freeSlots -= std::min(position->second.load.freeSlots, tasks);
+}
+
 void PeerTable::forget(Incarnation peer)
 {
     const auto position = m_peers.find(peer);
@@ -57,13 +76,18 @@
 {
     std::vector<Incarnation> agents;
     for (const auto &[incarnation, peer] : m_peers) {
-        if (peer.up && peer.info.role == ProcessRole::Agent
-            && peer.info.state == AgentState::Serving)
+        if (serves(peer))
             agents.push_back(incarnation);
     }
     return agents;
 }
 
+std::size_t PeerTable::servingCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_peers.begin(), m_peers.end(), [](const auto &entry) { return serves(entry.second); }));
+}
+
 std::vector<Incarnation> PeerTable::connectedEntries() const
 {
     std::vector<Incarnation> entries;
--- a/source/core/peertable.h
+++ b/source/core/peertable.h
@@ -33,6 +33,8 @@
     void disconnect(TimePoint now, Incarnation peer);
     // Returns true if the peer is an agent that has just started to serve.
     bool applyHeartbeat(Incarnation peer, const Heartbeat &heartbeat);
+    // Work was offered to this agent: it has fewer free slots until its next heartbeat.
+    void noteOffered(Incarnation agent, std::uint32_t tasks);
     // Forgets a peer that is not connected.
     void forget(Incarnation peer);
 
@@ -41,6 +43,7 @@
     bool isUp(Incarnation peer) const;
     // Connected agents that serve, in order of their incarnations; the agent itself is not one.
     std::vector<Incarnation> servingAgents() const;
+    std::size_t servingCount() const;
     std::vector<Incarnation> connectedEntries() const;
     // Disconnected incarnations of the process with this name, apart from the given one.
     std::vector<Incarnation> olderRuns(const ProcessInfo &peer) const;
