Let the virtual site place entries in data centres and show sent messages

Cause: the policy benchmark needs entries beside their data centre's agents and counts the messages between agents, which messages() mixes with those of entries. Change: SiteOptions::entryDataCentres and SiteOptions::sent; both are optional. Result: without them, delays and random draws of the site are as before. Conclusion: the fault schedules are unaffected.

--- a/tests/core/virtualsite.cpp
+++ b/tests/core/virtualsite.cpp
@@ -25,6 +25,8 @@
             startAgent(i);
         } else {
             info.role = ProcessRole::Entry;
+            if (!m_options.entryDataCentres.empty())
+                info.dataCentre = m_options.entryDataCentres.at(i - agents());
             info.incarnation = Incarnation(m_random());
             m_positions[info.incarnation] = i;
         }
@@ -50,9 +52,9 @@
 
 Duration VirtualSite::delay(std::size_t a, std::size_t b) const
 {
-    if (a >= agents() || b >= agents())
+    if ((a >= agents() || b >= agents()) && m_options.entryDataCentres.empty())
         return m_options.entryDelay;
-    return m_options.agents[a].dataCentre == m_options.agents[b].dataCentre ? m_options.nearDelay
+    return m_processes[a].info.dataCentre == m_processes[b].info.dataCentre ? m_options.nearDelay
                                                                             : m_options.farDelay;
 }
 
@@ -178,6 +180,8 @@
     if (!path.up[side])
         return false;
     ++m_messages[message.index()];
+    if (m_options.sent)
+        m_options.sent(from, *target, message);
     if (path.loses[side])
         return true;
     const Incarnation sender = m_processes[from].info.incarnation;
--- a/tests/core/virtualsite.h
+++ b/tests/core/virtualsite.h
@@ -36,6 +36,8 @@
     Duration nearDelay{100};
     Duration farDelay{1'000};
     Duration entryDelay{500};
+    // Data centre of each entry. Empty: all entries are entryDelay away from all agents.
+    std::vector<std::string> entryDataCentres;
     Duration heartbeatInterval{500'000};
     Duration silenceTimeout{2'000'000};
     Duration issuePeriod{10'000'000};
@@ -49,6 +51,8 @@
     std::function<TaskPlan(const StartTask &task, std::size_t agent)> plan;
     // An upstream started a task.
     std::function<void(const StartTask &task, std::size_t agent)> started;
+    // A process put a message on a link.
+    std::function<void(std::size_t from, std::size_t to, const Message &message)> sent;
     // An entry received a message.
     std::function<void(std::size_t entry, const Message &message)> received;
 };
