Add the policy benchmark

Change: bench_policy drives the real cores of a virtual site with 11 workers and 3 entries over seeded traces, and compares with an omniscient queue, random placement and one queue in the order of arrival.

--- /dev/null
+++ b/bench/arrivaltrace.h
@@ -0,0 +1,90 @@
+// The submissions of one benchmark run: when they arrive, how long their tasks run and what callers
+// declare. Every policy is given the same trace.
+#pragma once
+
+#include "base/coretime.h"
+#include "config/ruleset.h"
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Bluebellquay {
+
+// A kind of request or job; run times are log-uniform within the range.
+struct TraceKind
+{
+    std::string name;
+    Urgency urgency = Urgency::Normal;
+    Duration shortest{0};
+    Duration longest{0};
+    Duration deadline{0};
+};
+
+struct Arrival
+{
+    TimePoint time;
+    // Position in ArrivalTrace::kinds().
+    std::size_t kind = 0;
+    // One entry for each task; one task is a single request.
+    std::vector<Duration> runTimes;
+    std::vector<Duration> declared;
+
+    bool isJob() const { return runTimes.size() > 1; }
+    Duration work() const;
+};
+
+class ArrivalTrace
+{
+public:
+    // The site that both traces are meant for.
+    static constexpr std::uint32_t Workers = 11;
+    static constexpr std::uint32_t SlotsPerWorker = 8;
+    static constexpr std::uint32_t Slots = Workers * SlotsPerWorker;
+    static constexpr const char *Branch = "bench";
+    // One way between a caller and its entry.
+    static constexpr Duration ClientDelay{1'000};
+    // One way within a data centre.
+    static constexpr Duration NearDelay{100};
+    // Shortest way of a request: caller, entry, home with a free slot, and back.
+    static constexpr Duration ShortestRoundTrips = (ClientDelay + NearDelay) * 2;
+
+    // 70% of the work in jobs of 10 to 700 tasks, 1% of the tasks 20 times longer, sizes declared
+    // up to 4 times too low or too high. Load is the share of all slots.
+    static ArrivalTrace normal(std::uint64_t seed, Duration length, double load);
+    // Single requests at 80% load, and at 3 times the capacity between crestStart() and crestEnd();
+    // a quarter is urgent. No task runs 20 times longer, because it could not meet its deadline.
+    static ArrivalTrace crest(std::uint64_t seed);
+
+    const std::vector<TraceKind> &kinds() const { return m_kinds; }
+    const std::vector<Arrival> &arrivals() const { return m_arrivals; }
+    const TraceKind &kindOf(const Arrival &arrival) const { return m_kinds[arrival.kind]; }
+    std::shared_ptr<const RuleSet> rules() const;
+    TimePoint crestStart() const { return m_crestStart; }
+    TimePoint crestEnd() const { return m_crestEnd; }
+    TimePoint end() const { return m_end; }
+
+private:
+    explicit ArrivalTrace(std::uint64_t seed)
+        : m_random(seed)
+    { }
+
+    double uniform(double low, double high);
+    double logUniform(double low, double high);
+    Duration drawRunTime(std::size_t kind, double longShare);
+    Arrival draw(std::size_t kind, std::size_t tasks, double longShare);
+    // Adds requests with Poisson arrivals at this share of the capacity.
+    void addRequests(TimePoint from, TimePoint to, double load);
+    void sort();
+
+    std::mt19937_64 m_random;
+    std::vector<TraceKind> m_kinds;
+    std::vector<Arrival> m_arrivals;
+    TimePoint m_crestStart{};
+    TimePoint m_crestEnd{};
+    TimePoint m_end{};
+};
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/bench/slotqueue.cpp
@@ -0,0 +1,141 @@
+#include "slotqueue.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <random>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+namespace Bluebellquay {
+
+namespace {
+
+class SlotQueue
+{
+public:
+    SlotQueue(const ArrivalTrace &trace, QueueOrder order, std::uint64_t seed)
+        : m_trace(trace)
+        , m_order(order)
+        , m_random(seed)
+        , m_served(trace.arrivals().size())
+        , m_open(trace.arrivals().size())
+        , m_next(trace.arrivals().size())
+        , m_left(trace.arrivals().size())
+    {
+        const bool perWorker = order == QueueOrder::RandomWorker;
+        m_queues.resize(perWorker ? ArrivalTrace::Workers : 1);
+        m_free.assign(m_queues.size(),
+                      perWorker ? ArrivalTrace::SlotsPerWorker : ArrivalTrace::Slots);
+    }
+
+    std::vector<ServedArrival> run()
+    {
+        std::size_t next = 0;
+        const auto &arrivals = m_trace.arrivals();
+        while (next < arrivals.size() || !m_ends.empty()) {
+            const bool arrives = next < arrivals.size()
+                && (m_ends.empty() || arrivals[next].time <= std::get<0>(m_ends.top()));
+            if (arrives)
+                arrive(next++);
+            else
+                end();
+        }
+        return std::move(m_served);
+    }
+
+private:
+    // Class, key within the class, arrival, task.
+    using Entry = std::tuple<int, std::int64_t, std::size_t, std::size_t>;
+    // Time, arrival, queue.
+    using End = std::tuple<TimePoint, std::size_t, std::size_t>;
+
+    const Arrival &arrival(std::size_t index) const { return m_trace.arrivals()[index]; }
+
+    Entry entry(std::size_t index, std::size_t task) const
+    {
+        if (m_order != QueueOrder::Omniscient)
+            return {0, arrival(index).time.time_since_epoch().count(), index, task};
+        return {arrival(index).isJob() ? 1 : 0, m_left[index].count(), index, 0};
+    }
+
+    void arrive(std::size_t index)
+    {
+        m_now = arrival(index).time;
+        m_open[index] = arrival(index).runTimes.size();
+        m_left[index] = arrival(index).work();
+        if (m_order == QueueOrder::Omniscient) {
+            m_tasks[index] = arrival(index).runTimes;
+            std::sort(m_tasks[index].begin(), m_tasks[index].end(), std::greater<>());
+            m_queues[0].insert(entry(index, 0));
+            fill(0);
+            return;
+        }
+        for (std::size_t task = 0; task < arrival(index).runTimes.size(); ++task) {
+            const std::size_t queue = m_random() % m_queues.size();
+            m_queues[queue].insert(entry(index, task));
+            fill(queue);
+        }
+    }
+
+    void fill(std::size_t queue)
+    {
+        while (m_free[queue] > 0 && !m_queues[queue].empty()) {
+            const Entry first = *m_queues[queue].begin();
+            m_queues[queue].erase(m_queues[queue].begin());
+            const std::size_t index = std::get<2>(first);
+            Duration runTime = arrival(index).runTimes[std::get<3>(first)];
+            if (m_order == QueueOrder::Omniscient) {
+                runTime = m_tasks[index][m_next[index]++];
+                m_left[index] -= runTime;
+                if (m_next[index] < m_tasks[index].size())
+                    m_queues[queue].insert(entry(index, 0));
+            }
+            --m_free[queue];
+            if (!m_served[index].started)
+                m_served[index].started = m_now;
+            m_ends.emplace(m_now + runTime, index, queue);
+        }
+    }
+
+    void end()
+    {
+        const auto [time, index, queue] = m_ends.top();
+        m_ends.pop();
+        m_now = time;
+        ++m_free[queue];
+        if (--m_open[index] == 0) {
+            const bool network = m_order != QueueOrder::Omniscient;
+            m_served[index].answered =
+                m_now + (network ? ArrivalTrace::ShortestRoundTrips : Duration(0));
+            m_served[index].outcome = Outcome::Completed;
+        }
+        fill(queue);
+    }
+
+    const ArrivalTrace &m_trace;
+    QueueOrder m_order;
+    std::mt19937_64 m_random;
+    std::vector<ServedArrival> m_served;
+    // By arrival: unfinished tasks, next task to start, work that has not started.
+    std::vector<std::size_t> m_open;
+    std::vector<std::size_t> m_next;
+    std::vector<Duration> m_left;
+    // Longest first; filled for the omniscient order only.
+    std::unordered_map<std::size_t, std::vector<Duration>> m_tasks;
+    std::vector<std::set<Entry>> m_queues;
+    std::vector<std::uint32_t> m_free;
+    std::priority_queue<End, std::vector<End>, std::greater<>> m_ends;
+    TimePoint m_now{};
+};
+
+} // namespace
+
+std::vector<ServedArrival> serveFromQueue(const ArrivalTrace &trace, QueueOrder order,
+                                          std::uint64_t seed)
+{
+    return SlotQueue(trace, order, seed).run();
+}
+
+} // namespace Bluebellquay
