Compare job makespans with orders that do not know the task sizes

Cause: it was open how much of job_makespan_ratio_p99 comes from unknown task sizes and how much from placement. Change: two more reference queues with the true total size of each job: one starts the tasks of a job in the order of their declared sizes, one in the order of the caller. The former is a baseline, the latter gives the unbounded figure job_makespan_ratio_p99_caller_order.

--- a/bench/normalfigures.cpp
+++ b/bench/normalfigures.cpp
@@ -99,6 +99,7 @@
     const auto reference = serveFromQueue(trace, QueueOrder::Omniscient, seed);
     const std::vector<Baseline> baselines{
         {"random", serveFromQueue(trace, QueueOrder::RandomWorker, seed)},
+        {"declared", serveFromQueue(trace, QueueOrder::DeclaredTasks, seed)},
         {"fcfs", serveFromQueue(trace, QueueOrder::FirstComeFirstServed, seed)}};
     const auto slowdowns = [&](const std::vector<ServedArrival> &served) {
         return requestSlowdowns(trace, served);
@@ -121,6 +122,15 @@
         upTo("job_makespan_ratio_p99", percentile(ownRatios, 0.99), "ratio", 1.3),
         upTo("short_blocked_by_long_p99", blockedShare(site, trace), "runs", 1),
         upTo("wasted_messages_normal", site.messages().wasted(), "share", 0.05),
+        // Says how much of the ratio above is due to the order of the tasks within a job.
+        {"job_makespan_ratio_p99_caller_order",
+         percentile(makespanRatios(trace, site.served(),
+                                   serveFromQueue(trace, QueueOrder::CallerTasks, seed)),
+                    0.99),
+         "ratio",
+         Bound::None,
+         0,
+         {}},
         {"normal_not_completed", notCompletedShare(site.served()), "share", Bound::None, 0, {}},
     };
     for (const Baseline &baseline : baselines) {
--- a/bench/slotqueue.cpp
+++ b/bench/slotqueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 #include <queue>
 #include <random>
 #include <set>
@@ -52,10 +53,30 @@
     using End = std::tuple<TimePoint, std::size_t, std::size_t>;
 
     const Arrival &arrival(std::size_t index) const { return m_trace.arrivals()[index]; }
+    bool bySize() const
+    {
+        return m_order == QueueOrder::Omniscient || m_order == QueueOrder::DeclaredTasks
+            || m_order == QueueOrder::CallerTasks;
+    }
+
+    // Positions of the tasks of an arrival, the first to start first.
+    std::vector<std::size_t> taskOrder(std::size_t index) const
+    {
+        std::vector<std::size_t> tasks(arrival(index).runTimes.size());
+        std::iota(tasks.begin(), tasks.end(), std::size_t(0));
+        if (m_order == QueueOrder::CallerTasks)
+            return tasks;
+        const std::vector<Duration> &sizes = m_order == QueueOrder::DeclaredTasks
+            ? arrival(index).declared
+            : arrival(index).runTimes;
+        std::stable_sort(tasks.begin(), tasks.end(),
+                         [&](std::size_t a, std::size_t b) { return sizes[a] > sizes[b]; });
+        return tasks;
+    }
 
     Entry entry(std::size_t index, std::size_t task) const
     {
-        if (m_order != QueueOrder::Omniscient)
+        if (!bySize())
             return {0, arrival(index).time.time_since_epoch().count(), index, task};
         return {arrival(index).isJob() ? 1 : 0, m_left[index].count(), index, 0};
     }
@@ -65,9 +86,8 @@
         m_now = arrival(index).time;
         m_open[index] = arrival(index).runTimes.size();
         m_left[index] = arrival(index).work();
-        if (m_order == QueueOrder::Omniscient) {
-            m_tasks[index] = arrival(index).runTimes;
-            std::sort(m_tasks[index].begin(), m_tasks[index].end(), std::greater<>());
+        if (bySize()) {
+            m_tasks[index] = taskOrder(index);
             m_queues[0].insert(entry(index, 0));
             fill(0);
             return;
@@ -85,17 +105,17 @@
             const Entry first = *m_queues[queue].begin();
             m_queues[queue].erase(m_queues[queue].begin());
             const std::size_t index = std::get<2>(first);
-            Duration runTime = arrival(index).runTimes[std::get<3>(first)];
-            if (m_order == QueueOrder::Omniscient) {
-                runTime = m_tasks[index][m_next[index]++];
-                m_left[index] -= runTime;
+            std::size_t task = std::get<3>(first);
+            if (bySize()) {
+                task = m_tasks[index][m_next[index]++];
+                m_left[index] -= arrival(index).runTimes[task];
                 if (m_next[index] < m_tasks[index].size())
                     m_queues[queue].insert(entry(index, 0));
             }
             --m_free[queue];
             if (!m_served[index].started)
                 m_served[index].started = m_now;
-            m_ends.emplace(m_now + runTime, index, queue);
+            m_ends.emplace(m_now + arrival(index).runTimes[task], index, queue);
         }
     }
 
@@ -106,7 +126,7 @@
         m_now = time;
         ++m_free[queue];
         if (--m_open[index] == 0) {
-            const bool network = m_order != QueueOrder::Omniscient;
+            const bool network = !bySize();
             m_served[index].answered =
                 m_now + (network ? ArrivalTrace::ShortestRoundTrips : Duration(0));
             m_served[index].outcome = Outcome::Completed;
@@ -122,8 +142,8 @@
     std::vector<std::size_t> m_open;
     std::vector<std::size_t> m_next;
     std::vector<Duration> m_left;
-    // Longest first; filled for the omniscient order only.
-    std::unordered_map<std::size_t, std::vector<Duration>> m_tasks;
+    // Filled for the orders by size only.
+    std::unordered_map<std::size_t, std::vector<std::size_t>> m_tasks;
     std::vector<std::set<Entry>> m_queues;
     std::vector<std::uint32_t> m_free;
     std::priority_queue<End, std::vector<End>, std::greater<>> m_ends;
