Trial: bind the tasks of a job longest declared first

Change: TaskBindings orders the unbound tasks by declared run time, then by index. Jobs without declared run times keep the order of the caller.

--- a/source/core/activesubmission.h
+++ b/source/core/activesubmission.h
@@ -27,7 +27,7 @@
         , urgency(job.raised && rule.allowRaise ? Urgency::Urgent : rule.urgency)
         , arrived(now)
         , deadlineAt(now + deadline)
-        , tasks(static_cast<std::uint32_t>(job.tasks.size()))
+        , tasks(job.tasks)
     { }
 
     bool isSingle() const { return tasks.tasks() == 1; }
--- a/source/core/taskbindings.cpp
+++ b/source/core/taskbindings.cpp
@@ -4,13 +4,16 @@
 
 namespace Bluebellquay {
 
-TaskBindings::TaskBindings(std::uint32_t tasks)
-    : m_slots(tasks)
-    , m_outputs(tasks)
+TaskBindings::TaskBindings(const std::vector<TaskSpec> &tasks)
+    : m_slots(tasks.size())
+    , m_outputs(tasks.size())
 {
-    m_unbound.reserve(tasks);
-    for (std::uint32_t i = tasks; i > 0; --i)
+    m_unbound.reserve(tasks.size());
+    for (auto i = static_cast<std::uint32_t>(tasks.size()); i > 0; --i)
         m_unbound.push_back(i - 1);
+    std::stable_sort(m_unbound.begin(), m_unbound.end(), [&](std::uint32_t a, std::uint32_t b) {
+        return tasks[a].declaredRunTime < tasks[b].declaredRunTime;
+    });
 }
 
 const TaskBindings::PullAnswer &TaskBindings::bind(Incarnation agent, PullNumber pull,
--- a/source/core/taskbindings.h
+++ b/source/core/taskbindings.h
@@ -31,9 +31,10 @@
         std::uint32_t remaining = 0;
     };
 
-    explicit TaskBindings(std::uint32_t tasks);
+    explicit TaskBindings(const std::vector<TaskSpec> &tasks);
 
-    // Binds up to max unbound tasks, lowest index first. The same pull always gets the same answer.
+    // Binds up to max unbound tasks, longest declared run time first, then lowest index first: a
+    // long task that starts last would end the job late. The same pull always gets the same answer.
     const PullAnswer &bind(Incarnation agent, PullNumber pull, std::uint32_t max);
     // Null if the pull has not been answered.
     const PullAnswer *findAnswer(Incarnation agent, PullNumber pull) const;
