Trial: rank jobs by the mean of their declared run times

Change: the offer of a job carries the mean declared run time of its tasks, if declared. The sum should be computed once for each submission instead of for each offer.

--- a/source/core/offerdesk.cpp
+++ b/source/core/offerdesk.cpp
@@ -30,6 +30,13 @@
     reserve.jobTasks = active.tasks.tasks();
     reserve.expectedRunTime =
         m_estimates.expected(active.job.branch, active.job.kind, active.rule.expectedRunTime);
+    if (!active.isSingle()) {
+        Duration declared{0};
+        for (const TaskSpec &task : active.job.tasks)
+            declared += task.declaredRunTime;
+        if (declared > Duration(0))
+            reserve.expectedRunTime = declared / reserve.jobTasks;
+    }
     reserve.age = now - active.arrived;
     reserve.need = active.job.need;
     if (!contains(active.reservedAt, agent))
