--- a/bench/crestfigures.cpp
+++ b/bench/crestfigures.cpp
@@ -94,7 +94,7 @@
         std::map<std::string, std::size_t> counts;
         each([&](const Arrival &arrival, const ServedArrival &served) {
             std::string name = inCrest(m_trace, arrival) ? "crest." : "other.";
-            name += m_trace.kindOf(arrival).urgency == Urgency::Urgent ? "urgent." : "normal.";
+            name += m_trace.kindOf(arrival).name + ".";
             name += !served.answered ? "unanswered" : toString(served.outcome);
             if (served.reason != Reason::None)
                 name += "." + std::string(toString(served.reason));
