Trial: admit against the service rate that is left to the class

Urgent work takes 75% of the slots then, but a home divided its normal queue by the rate of all classes; and each home counted all free slots of its peers, which the other ten counted, too. Change: the bound rate is kept by queue; a queue gets what the queues before it leave, and a home counts its share of the free slots.

--- a/source/core/admissioncontrol.cpp
+++ b/source/core/admissioncontrol.cpp
@@ -113,28 +113,39 @@
     noteDroppedWork(active, work);
     const double passed = std::max(0.0, seconds(now - m_lastBound));
     m_lastBound = now;
-    m_boundRate = m_boundRate * std::exp(-passed / RateSeconds) + seconds(work) / RateSeconds;
+    for (double &rate : m_boundRates)
+        rate *= std::exp(-passed / RateSeconds);
+    m_boundRates[queueOf(active.urgency, active.isSingle())] += seconds(work) / RateSeconds;
 }
 
-double AdmissionControl::servedPerSecond() const
+double AdmissionControl::servedPerSecond(std::size_t queue) const
 {
-    // Slots that are free now serve this home if it needs them.
     double slots = m_state.executorServes ? m_state.executorLoad.slots : 0;
+    double freeSlots = 0;
+    double agents = 1;
     for (const auto &[incarnation, peer] : m_state.peers.all()) {
-        if (peer.up && peer.loadKnown && peer.info.state == AgentState::Serving)
-            slots += peer.load.freeSlots;
+        if (!peer.up || !peer.loadKnown || peer.info.state != AgentState::Serving)
+            continue;
+        ++agents;
+        freeSlots += peer.load.freeSlots;
     }
-    return std::max({1.0, slots, m_boundRate});
+    // All homes see the same free slots.
+    slots += freeSlots / agents;
+    const auto first = m_boundRates.begin();
+    const auto position = first + static_cast<std::ptrdiff_t>(queue);
+    const double ahead = std::accumulate(first, position, 0.0);
+    const double total = std::accumulate(position, m_boundRates.end(), ahead);
+    return std::max(1.0, std::max(slots, total) - ahead);
 }
 
 Duration AdmissionControl::expectedWait(Urgency urgency, bool single) const
 {
     const std::size_t last = queueOf(urgency, single);
-    const double ahead =
-        std::accumulate(m_queuedSeconds.begin(), m_queuedSeconds.begin() + last + 1, 0.0);
+    const auto first = m_queuedSeconds.begin();
+    const double ahead = std::accumulate(first, first + static_cast<std::ptrdiff_t>(last) + 1, 0.0);
     if (ahead <= 0)
         return Duration(0);
-    return fromSeconds(ahead / servedPerSecond());
+    return fromSeconds(ahead / servedPerSecond(last));
 }
 
 std::size_t AdmissionControl::waiting() const
--- a/source/core/admissioncontrol.h
+++ b/source/core/admissioncontrol.h
@@ -55,7 +55,9 @@
     }
     std::optional<Answer> checkQueue(const Request &request) const;
     std::optional<Answer> checkDeadline(const Request &request) const;
-    double servedPerSecond() const;
+    // Seconds of run time that this home can get bound per second for work of this queue: what the
+    // queues before it take is not available to it.
+    double servedPerSecond(std::size_t queue) const;
 
     using Counts = std::array<std::uint32_t, UrgencyClasses>;
 
@@ -65,8 +67,8 @@
     std::map<std::pair<std::string, std::string>, Counts> m_waitingByTeam;
     // Seconds of expected run time without a binding, in the order of service.
     std::array<double, QueueCount> m_queuedSeconds{};
-    // Seconds of run time bound per second, as an exponential average.
-    double m_boundRate = 0;
+    // Seconds of run time bound per second, as exponential averages, in the order of service.
+    std::array<double, QueueCount> m_boundRates{};
     TimePoint m_lastBound{};
 };
 
