--- a/source/core/admissioncontrol.cpp
+++ b/source/core/admissioncontrol.cpp
@@ -12,6 +12,9 @@
 
 // Time constant of the average of the bound work.
 constexpr double RateSeconds = 1.0;
+// Percent of the expected wait, and multiple of the median run time, that must fit in the deadline.
+constexpr int WaitMargin = 200;
+constexpr int RunTimeMargin = 2;
 constexpr Duration MinimumRetryAfter{100'000};
 constexpr Duration NoWorkerRetryAfter{1'000'000};
 // Outputs kept for callers to fetch; with the records themselves this keeps a full home below its
@@ -75,8 +78,8 @@
 
 std::optional<Answer> AdmissionControl::checkDeadline(const Request &request) const
 {
-    const Duration needed =
-        expectedWait(request.urgency, request.job.tasks.size() == 1) + request.expectedRunTime;
+    const Duration wait = expectedWait(request.urgency, request.job.tasks.size() == 1);
+    const Duration needed = wait * WaitMargin / 100 + request.expectedRunTime * RunTimeMargin;
     if (needed <= request.deadline)
         return std::nullopt;
     return notRunAnswer(Reason::DeadlineTooShort,
