--- a/source/net/messagecodec.cpp
+++ b/source/net/messagecodec.cpp
@@ -1,6 +1,7 @@
 #include "net/messagecodec.h"
 
 #include "net/cbor.h"
+#include "net/messageencoder.h"
 #include "net/messagefields.h"
 
 #include <algorithm>
@@ -12,7 +13,6 @@
 
 namespace {
 
-constexpr std::size_t SubmissionIdBytes = 20; // home, issue period, nonce; big-endian
 // Lists grow as their elements are read; no announced length makes a larger reservation.
 constexpr std::size_t MaxReservedElements = 64;
 
@@ -74,95 +74,6 @@
     return IsTaskList ? MaxTasksPerJob : MaxListElements;
 }
 
-// Writes values by their static type.
-class Encoder
-{
-public:
-    explicit Encoder(std::string &output)
-        : m_writer(output)
-    { }
-
-    template <WireStruct Struct>
-    void write(const Struct &value)
-    {
-        m_writer.arrayHead(std::tuple_size_v<std::remove_cv_t<decltype(WireFields<Struct>)>>);
-        writeFields(value);
-    }
-
-    template <WireStruct Struct>
-    void writeMessage(std::size_t typeNumber, const Struct &value)
-    {
-        m_writer.arrayHead(1 + std::tuple_size_v<std::remove_cv_t<decltype(WireFields<Struct>)>>);
-        m_writer.unsignedInteger(typeNumber);
-        writeFields(value);
-    }
-
-private:
-    template <typename Struct>
-    void writeFields(const Struct &value)
-    {
-        std::apply([&](auto... member) { (write(value.*member), ...); }, WireFields<Struct>);
-    }
-
-    void write(bool value) { m_writer.boolean(value); }
-    void write(const std::string &value) { m_writer.bytes(value); }
-    void write(Duration value)
-    {
-        const Duration clamped = std::clamp(value, Duration(0), MaxWireDuration);
-        m_writer.unsignedInteger(static_cast<std::uint64_t>(clamped.count()));
-    }
-    template <std::unsigned_integral Number>
-    requires(!std::is_same_v<Number, bool>) void write(Number value)
-    {
-        m_writer.unsignedInteger(value);
-    }
-    template <typename Enum>
-    requires std::is_enum_v<Enum>
-    void write(Enum value) { m_writer.unsignedInteger(static_cast<std::uint64_t>(value)); }
-    template <typename Tag, typename Rep>
-    void write(StrongId<Tag, Rep> value)
-    {
-        m_writer.unsignedInteger(value.value());
-    }
-    void write(const SubmissionId &id)
-    {
-        char buffer[SubmissionIdBytes];
-        char *position = buffer;
-        const auto put = [&](std::uint64_t value, unsigned width) {
-            for (unsigned i = width; i > 0; --i)
-                *position++ = static_cast<char>(value >> (8 * (i - 1)));
-        };
-        put(id.home().value(), 8);
-        put(id.period().value(), 4);
-        put(id.nonce().value(), 8);
-        m_writer.bytes(std::string_view(buffer, sizeof buffer));
-    }
-    template <typename Value>
-    void write(const std::optional<Value> &value)
-    {
-        if (value)
-            write(*value);
-        else
-            m_writer.null();
-    }
-    template <typename Element, std::size_t Size>
-    void write(const std::array<Element, Size> &values)
-    {
-        m_writer.arrayHead(Size);
-        for (const Element &value : values)
-            write(value);
-    }
-    template <typename Element>
-    void write(const std::vector<Element> &values)
-    {
-        m_writer.arrayHead(values.size());
-        for (const Element &value : values)
-            write(value);
-    }
-
-    CborWriter m_writer;
-};
-
 // Reads values by their static type. Each call returns false at the first error, which error() then
 // tells.
 class Decoder
@@ -412,7 +323,7 @@
 
 void appendMessage(std::string &output, const Message &message)
 {
-    Encoder encoder(output);
+    MessageEncoder encoder(output);
     std::visit([&](const auto &value) { encoder.writeMessage(message.index(), value); }, message);
 }
 
--- a/tests/net/messagecodectest.cpp
+++ b/tests/net/messagecodectest.cpp
@@ -196,6 +196,6 @@
     resetLargestAllocation();
     for (const std::string &frame : frames)
         CHECK(decode(frame).error);
-    constexpr std::size_t SmallAllocation = 64 * 1024;
+    constexpr std::size_t SmallAllocation = 64UL * 1024;
     CHECK(largestAllocation() < SmallAllocation);
 }
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -130,7 +130,7 @@
         return named != nullptr ? apply(*named, words) : "error: no relay " + words[1];
     }
     for (const auto &[name, each] : m_relays) {
-        const std::string reply = apply(*each, words);
+        std::string reply = apply(*each, words);
         if (reply != Ok)
             return reply;
     }
--- a/tests/standins/faultrelay.cpp
+++ b/tests/standins/faultrelay.cpp
@@ -18,9 +18,9 @@
 using boost::system::error_code;
 using Clock = std::chrono::steady_clock;
 
-constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::size_t ChunkBytes = 16UL * 1024;
 // A direction reads no further while this much waits to be written.
-constexpr std::size_t MaxQueuedBytes = 1024 * 1024;
+constexpr std::size_t MaxQueuedBytes = 1024UL * 1024;
 // Time for the half chunk to arrive before the reset, which would discard it.
 constexpr std::chrono::milliseconds ResetDelay{20};
 
