Refuse secrets of equal length in the test of wrong secrets

Cause: a trial mutation that accepts any secret of the right length passed the test, because its wrong secrets had other lengths. Change: the wrong secrets differ in the last and in the first byte only. Conclusion: the comparison of the content is now covered.

--- a/tests/net/linkfaulttest.cpp
+++ b/tests/net/linkfaulttest.cpp
@@ -55,7 +55,7 @@
 {
     Site site;
     TestPeer left(site.context, site.timers, 1,
-                  [](PeerNodeSettings &settings) { settings.secret = "another-secret-of-tests"; });
+                  [](PeerNodeSettings &settings) { settings.secret = "secret-of-the-testz"; });
     TestPeer right(site.context, site.timers, 2);
     left.node->dial(right.address());
     CHECK(runUntil(site.context, [&] {
@@ -64,8 +64,9 @@
     CHECK(left.ups.empty());
     CHECK(right.ups.empty());
 
-    // A prefix of the secret and none at all.
-    for (const std::string &secret : {std::string(Secret).substr(0, 5), std::string()}) {
+    // Another first byte, a prefix of the secret and none at all.
+    for (const std::string &secret :
+         {"S" + std::string(Secret).substr(1), std::string(Secret).substr(0, 5), std::string()}) {
         const auto raw = RawPeer::create(site.context);
         raw->upgrade(right.node->port(), secret);
         CHECK(runUntil(site.context, [&] { return raw->closed(); }));
