Count the load generator's linger time from the last submission

Cause: a run whose count was reached early waited for lost answers until the length and the linger time had passed, unlike what the option says. Two tests depended on how fast the machine runs a task.

--- a/tests/standins/loadgenerator.h
+++ b/tests/standins/loadgenerator.h
@@ -110,6 +110,8 @@
     OpenSubmissions m_open;
     std::function<void()> m_finished;
     TimerSubscription m_arrivalTimer;
+    TimerSubscription m_endTimer;
+    // Active from the end of sending.
     TimerSubscription m_lingerTimer;
     EntryClients m_entries;
     std::unique_ptr<IdPool> m_ids;
