Select a part of bench_process and report the cost of agents under load

Cause: a profile needs the load of one measurement, and the agents' share of the cost of a request was not shown.

--- a/bench.sh
+++ b/bench.sh
@@ -36,7 +36,11 @@
     echo "== $1"
     "$bin/$1" --output "$results/$1.jsonl" "${quick[@]}" || failed+=("$1")
 }
-[ "$has_policy" = no ] || run bench_policy
+if [ "$has_policy" = yes ]; then
+    run bench_policy
+else
+    echo "== bench_policy is not part of this tree: its figures are missing"
+fi
 run bench_process
 
 cat "$results"/bench_*.jsonl >"$results/results.jsonl"
--- a/bench/process/entrythroughput.cpp
+++ b/bench/process/entrythroughput.cpp
@@ -29,6 +29,7 @@
 {
     double completed = 0;
     double entryCpuSeconds = 0;
+    double agentsCpuSeconds = 0;
     // "name share" of the busiest process, and the cores that the entry used.
     std::string note;
 
@@ -87,6 +88,8 @@
                       << summaries[i].at("reasons").dump() << std::endl;
     }
     result.entryCpuSeconds = cpuSeconds.at(entry);
+    for (const auto &[name, used] : cpuSeconds)
+        result.agentsCpuSeconds += name.starts_with("agent-") ? used : 0;
     result.note = describe(cpuSeconds, elapsed, result.completed, entry);
     std::cout << "  " << result.note << std::endl;
     return result;
@@ -119,7 +122,10 @@
     const LoadResult baseline = runBaseline(seconds);
     return {{"entry_requests_per_core_s", result.requestsPerCoreSecond(), "requests/s/core", Bound,
              Direction::AtLeast, baseline.requestsPerCoreSecond(),
-             result.note + "; baseline: HTTP server that answers by itself"}};
+             result.note + "; baseline: HTTP server that answers by itself"},
+            {"agent_requests_per_core_s", result.completed / result.agentsCpuSeconds,
+             "requests/s/core", std::nullopt, Direction::AtLeast, std::nullopt,
+             "all agents together"}};
 }
 
 } // namespace Bluebellquay::Benchmark
--- a/bench/process/processbench.cpp
+++ b/bench/process/processbench.cpp
@@ -9,6 +9,8 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <stdexcept>
+#include <string_view>
 
 using namespace Bluebellquay;
 using namespace Bluebellquay::Benchmark;
@@ -28,24 +30,36 @@
 class Run
 {
 public:
-    explicit Run(bool quick)
+    // Only names the part to run, for profiling: sites, entry or records; all if empty.
+    Run(bool quick, std::string only)
         : m_quick(quick)
+        , m_only(std::move(only))
     { }
 
     void all()
+    {
+        if (wanted("sites"))
+            sites();
+        if (wanted("entry"))
+            add("entry_requests_per_core_s", [&] { return measureEntryThroughput(m_quick); });
+        if (wanted("records"))
+            add("agent_bytes_per_record", [&] { return measureRecordMemory(m_quick); });
+    }
+
+    const Measures &measures() const { return m_measures; }
+
+private:
+    bool wanted(std::string_view part) const { return m_only.empty() || m_only == part; }
+
+    void sites()
     {
         std::vector<IdleCost> idle;
         for (const unsigned agents : m_quick ? std::vector<unsigned>{3, 6, TargetAgents}
                                              : std::vector<unsigned>{3, 6, TargetAgents, 22})
             runSite(agents, idle);
         add("agent_idle_cpu_share", [&] { return idleCostMeasures(idle); });
-        add("entry_requests_per_core_s", [&] { return measureEntryThroughput(m_quick); });
-        add("agent_bytes_per_record", [&] { return measureRecordMemory(m_quick); });
     }
 
-    const Measures &measures() const { return m_measures; }
-
-private:
     // The other measurements in an empty system use the site of the target size.
     void runSite(unsigned agents, std::vector<IdleCost> &idle)
     {
@@ -87,6 +101,7 @@
     }
 
     bool m_quick;
+    std::string m_only;
     Measures m_measures;
 };
 
@@ -103,12 +118,16 @@
 {
     return runProgram([&]() -> boost::leaf::result<void> {
         std::string output;
+        std::string only;
         bool quick = false;
         CommandLine commandLine("bench_process");
         commandLine.add("output", output, "file for one JSON line for each figure");
         commandLine.add("quick", quick, "short windows and fewer sizes");
+        commandLine.add("only", only, "sites, entry or records: only this part");
         BOOST_LEAF_CHECK(commandLine.parse(argc, const_cast<const char **>(argv)));
-        Run run(quick);
+        if (!only.empty() && only != "sites" && only != "entry" && only != "records")
+            return boost::leaf::new_error(CommandLineError{"--only: sites, entry or records"});
+        Run run(quick, only);
         run.all();
         std::ofstream file(output);
         bool within = true;
