--- a/source/base/strongid.h
+++ b/source/base/strongid.h
@@ -22,6 +22,8 @@
     constexpr Rep value() const { return m_value; }
     constexpr StrongId next() const { return StrongId(static_cast<Rep>(m_value + 1)); }
 
+    // clang-tidy takes the zero that std::less compares the result with for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(StrongId, StrongId) = default;
 
 private:
