--- a/source/base/submissionid.h
+++ b/source/base/submissionid.h
@@ -37,6 +37,8 @@
     constexpr Nonce nonce() const { return m_nonce; }
     std::string toString() const;
 
+    // clang-tidy takes the zero that std::less compares the result with for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(const SubmissionId &, const SubmissionId &) = default;
 
 private:
