Estimate the wait of each class from what is left for it; refuse late work

Cause: in a trial of a crest (3 times capacity for 5 s, a quarter urgent, 2 s deadlines) normal requests were admitted as if urgent ones took no slots: 1,097 were refused only at their deadline and 499 ran past it. Tests of late and repeated binds and pulls, and of a home that wakes after its results were given up.

--- a/source/core/admissioncontrol.cpp
+++ b/source/core/admissioncontrol.cpp
@@ -12,6 +12,9 @@
 
 // Time constant of the average of the bound work.
 constexpr double RateSeconds = 1.0;
+// The wait is expected to be this fraction longer than estimated, because a refusal on arrival is
+// better than one at the deadline.
+constexpr int WaitMarginDivisor = 2;
 constexpr Duration MinimumRetryAfter{100'000};
 constexpr Duration NoWorkerRetryAfter{1'000'000};
 // Outputs kept for callers to fetch; with the records themselves this keeps a full home below its
@@ -23,6 +26,11 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+double decaySince(TimePoint before, TimePoint now)
+{
+    return std::exp(-std::max(0.0, seconds(now - before)) / RateSeconds);
+}
+
 Duration fromSeconds(double value)
 {
     constexpr double LongestSeconds = 3600;
@@ -43,23 +51,23 @@
 
 } // namespace
 
-std::optional<Answer> AdmissionControl::check(const Request &request) const
+std::optional<Answer> AdmissionControl::check(TimePoint now, const Request &request) const
 {
     if (!m_state.executorServes && m_state.peers.servingAgents().empty())
         return notRunAnswer(Reason::NoWorker, NoWorkerRetryAfter);
     if (m_state.records.answerBytes() > MaxAnswerBytes)
         return notRunAnswer(Reason::Overload, NoWorkerRetryAfter);
-    if (auto refusal = checkQueue(request))
+    if (auto refusal = checkQueue(now, request))
         return refusal;
-    return checkDeadline(request);
+    return checkDeadline(now, request);
 }
 
-std::optional<Answer> AdmissionControl::checkQueue(const Request &request) const
+std::optional<Answer> AdmissionControl::checkQueue(TimePoint now, const Request &request) const
 {
     const std::size_t urgency = static_cast<std::size_t>(request.urgency);
     const std::uint32_t limit = request.branch.queueLimits[urgency];
-    const Duration retryAfter =
-        std::max(MinimumRetryAfter, expectedWait(request.urgency, request.job.tasks.size() == 1));
+    const Duration retryAfter = std::max(
+        MinimumRetryAfter, expectedWait(now, request.urgency, request.job.tasks.size() == 1));
     const auto branch = m_waitingByBranch.find(request.job.branch);
     if (branch != m_waitingByBranch.end() && branch->second[urgency] >= limit)
         return notRunAnswer(Reason::QueueFull, retryAfter);
@@ -73,10 +81,10 @@
     return std::nullopt;
 }
 
-std::optional<Answer> AdmissionControl::checkDeadline(const Request &request) const
+std::optional<Answer> AdmissionControl::checkDeadline(TimePoint now, const Request &request) const
 {
     const Duration needed =
-        expectedWait(request.urgency, request.job.tasks.size() == 1) + request.expectedRunTime;
+        expectedWait(now, request.urgency, request.job.tasks.size() == 1) + request.expectedRunTime;
     if (needed <= request.deadline)
         return std::nullopt;
     return notRunAnswer(Reason::DeadlineTooShort,
@@ -111,12 +119,14 @@
 void AdmissionControl::noteBoundWork(TimePoint now, const ActiveSubmission &active, Duration work)
 {
     noteDroppedWork(active, work);
-    const double passed = std::max(0.0, seconds(now - m_lastBound));
+    const double decay = decaySince(m_lastBound, now);
     m_lastBound = now;
-    m_boundRate = m_boundRate * std::exp(-passed / RateSeconds) + seconds(work) / RateSeconds;
+    for (double &rate : m_boundRate)
+        rate *= decay;
+    m_boundRate[queueOf(active.urgency, active.isSingle())] += seconds(work) / RateSeconds;
 }
 
-double AdmissionControl::servedPerSecond() const
+double AdmissionControl::servedPerSecond(TimePoint now, std::size_t queue) const
 {
     // Slots that are free now serve this home if it needs them.
     double slots = m_state.executorServes ? m_state.executorLoad.slots : 0;
@@ -124,17 +134,23 @@
         if (peer.up && peer.loadKnown && peer.info.state == AgentState::Serving)
             slots += peer.load.freeSlots;
     }
-    return std::max({1.0, slots, m_boundRate});
+    constexpr double LeastShare = 0.05;
+    const double decay = decaySince(m_lastBound, now);
+    const double all = decay * std::accumulate(m_boundRate.begin(), m_boundRate.end(), 0.0);
+    const double before =
+        decay * std::accumulate(m_boundRate.begin(), m_boundRate.begin() + queue, 0.0);
+    const double total = std::max({1.0, slots, all});
+    return std::max(total - before, total * LeastShare);
 }
 
-Duration AdmissionControl::expectedWait(Urgency urgency, bool single) const
+Duration AdmissionControl::expectedWait(TimePoint now, Urgency urgency, bool single) const
 {
     const std::size_t last = queueOf(urgency, single);
     const double ahead =
         std::accumulate(m_queuedSeconds.begin(), m_queuedSeconds.begin() + last + 1, 0.0);
     if (ahead <= 0)
         return Duration(0);
-    return fromSeconds(ahead / servedPerSecond());
+    return fromSeconds(ahead / servedPerSecond(now, last));
 }
 
 std::size_t AdmissionControl::waiting() const
--- a/source/core/admissioncontrol.h
+++ b/source/core/admissioncontrol.h
@@ -31,7 +31,7 @@
     { }
 
     // The refusal, or nothing if the submission is admitted.
-    std::optional<Answer> check(const Request &request) const;
+    std::optional<Answer> check(TimePoint now, const Request &request) const;
 
     // A submission waits for its first task; the counterpart is noteFirstBound().
     void noteWaiting(const ActiveSubmission &active);
@@ -46,7 +46,7 @@
     void noteIdle() { m_queuedSeconds = {}; }
 
     // Time until a submission of this class would get its first task.
-    Duration expectedWait(Urgency urgency, bool single) const;
+    Duration expectedWait(TimePoint now, Urgency urgency, bool single) const;
     std::size_t waiting() const;
 
 private:
@@ -56,9 +56,10 @@
     {
         return static_cast<std::size_t>(urgency) * 2 + (single ? 0 : 1);
     }
-    std::optional<Answer> checkQueue(const Request &request) const;
-    std::optional<Answer> checkDeadline(const Request &request) const;
-    double servedPerSecond() const;
+    std::optional<Answer> checkQueue(TimePoint now, const Request &request) const;
+    std::optional<Answer> checkDeadline(TimePoint now, const Request &request) const;
+    // Seconds of run time per second that are left for a queue after those served before it.
+    double servedPerSecond(TimePoint now, std::size_t queue) const;
 
     using Counts = std::array<std::uint32_t, UrgencyClasses>;
 
@@ -68,8 +69,8 @@
     std::map<std::pair<std::string, std::string>, Counts> m_waitingByTeam;
     // Seconds of expected run time without a binding, in the order of service.
     std::array<double, QueueCount> m_queuedSeconds{};
-    // Seconds of run time bound per second, as an exponential average.
-    double m_boundRate = 0;
+    // Seconds of run time bound per second by queue, as an exponential average.
+    std::array<double, QueueCount> m_boundRate{};
     TimePoint m_lastBound{};
 };
 
--- a/source/core/agentcore.cpp
+++ b/source/core/agentcore.cpp
@@ -76,7 +76,7 @@
 void AgentCore::dispatch(TimePoint now, Incarnation from, Message message)
 {
     std::visit(
-        [&](auto &&content) {
+        [&](auto &content) {
             using Type = std::decay_t<decltype(content)>;
             if constexpr (IsForHome<Type>) {
                 m_home->handle(now, from, std::move(content), m_pending);
@@ -90,7 +90,7 @@
             }
             // The process around the core handles all other messages.
         },
-        std::move(message));
+        message);
 }
 
 void AgentCore::drain(Incarnation from, const Drain &message)
--- a/source/core/homecore.cpp
+++ b/source/core/homecore.cpp
@@ -115,7 +115,7 @@
     const AdmissionControl::Request request{
         active->job, *m_state.rules->findBranch(active->job.branch), active->urgency, deadline,
         m_estimates.expected(active->job.branch, active->job.kind, rule->expectedRunTime)};
-    if (auto refusal = m_admission.check(request))
+    if (auto refusal = m_admission.check(now, request))
         return refuseWith(std::move(*refusal));
     m_state.records.open(message.id, digest, std::move(active));
     m_tasks.accept(now, message.id);
--- a/source/core/taskdesk.cpp
+++ b/source/core/taskdesk.cpp
@@ -65,9 +65,23 @@
         declined(message.submission, *active, from, out);
         return;
     }
+    if (refusedAsLate(now, message.submission, *active, out)) {
+        out.send(from, Bind{message.pull, message.submission, {}, 0});
+        return;
+    }
     bindTo(now, *active, from, message, out);
 }
 
+bool TaskDesk::refusedAsLate(TimePoint now, const SubmissionId &id, const ActiveSubmission &active,
+                             Outbox &out)
+{
+    // A task that can't end before the deadline would take a slot for nothing.
+    if (active.tasks.mayHaveStarted() || now + active.expectedRunTime <= active.deadlineAt)
+        return false;
+    finish(id, notRunAnswer(Reason::DeadlineBeforeStart, active.expectedRunTime), out);
+    return true;
+}
+
 void TaskDesk::declined(const SubmissionId &id, ActiveSubmission &active, Incarnation agent,
                         Outbox &out)
 {
--- a/source/core/taskdesk.h
+++ b/source/core/taskdesk.h
@@ -55,6 +55,9 @@
     void finish(const SubmissionId &id, Answer answer, Outbox &out);
     // The agent can't hold a task of this submission. If no agent can, it is not run.
     void declined(const SubmissionId &id, ActiveSubmission &active, Incarnation agent, Outbox &out);
+    // Ends a submission of which nothing was started if it can't be done in time any more.
+    bool refusedAsLate(TimePoint now, const SubmissionId &id, const ActiveSubmission &active,
+                       Outbox &out);
     void bindTo(TimePoint now, ActiveSubmission &active, Incarnation agent, const Pull &message,
                 Outbox &out);
     void noteFirstBound(ActiveSubmission &active);
--- a/tests/core/agentcoretest.cpp
+++ b/tests/core/agentcoretest.cpp
@@ -25,6 +25,29 @@
     return agent;
 }
 
+constexpr Incarnation PeerId{9};
+
+ProcessInfo peerAgent()
+{
+    ProcessInfo info;
+    info.incarnation = PeerId;
+    info.name = "peer";
+    info.state = AgentState::Serving;
+    return info;
+}
+
+// The pull of an agent for one task that a home on another agent offers.
+Pull pulledBy(AgentCore &agent, const SubmissionId &id)
+{
+    Outbox out;
+    agent.peerUp(TimePoint(), peerAgent(), out);
+    Reserve reserve;
+    reserve.submission = id;
+    reserve.tasks = 1;
+    agent.handle(TimePoint(), PeerId, reserve, out);
+    return std::get<Pull>(out.messages.at(0).message);
+}
+
 Submit submitOf(std::uint64_t nonce, std::size_t tasks)
 {
     Submit submit;
@@ -72,3 +95,55 @@
     REQUIRE(out.messages.size() == 2);
     CHECK(std::get<Reply>(out.messages[1].message).answer->reason == Reason::CancelledBeforeStart);
 }
+
+TEST_CASE("A task reported as not started is not started by a late bind", "[core]")
+{
+    const SubmissionId id(PeerId, IssuePeriod(1), Nonce(1));
+    const TaskKey key{id, TaskIndex(0), TaskAttempt(1)};
+    Outbox out;
+    const auto agent = servingAgent(out);
+    const Pull pull = pulledBy(*agent, id);
+    agent->handle(TimePoint(), PeerId, TaskQuery{{key}}, out);
+    REQUIRE(std::get<TaskState>(out.messages.at(0).message).tasks.at(0).status
+            == TaskStatus::NotStarted);
+    SECTION("while the tombstone is kept") { }
+    SECTION("after the tombstone was acknowledged")
+    {
+        agent->handle(TimePoint(), PeerId, ResultAck{{key}}, out);
+    }
+    agent->handle(TimePoint(), PeerId,
+                  Bind{pull.pull, id, {BoundTask{key.index, key.attempt, "x"}}, 0}, out);
+    CHECK(out.starts.empty());
+}
+
+TEST_CASE("A bind is answered by at most one start, however often it arrives", "[core]")
+{
+    const SubmissionId id(PeerId, IssuePeriod(1), Nonce(1));
+    const TaskKey key{id, TaskIndex(0), TaskAttempt(1)};
+    Outbox out;
+    const auto agent = servingAgent(out);
+    const Pull pull = pulledBy(*agent, id);
+    const Bind bind{pull.pull, id, {BoundTask{key.index, key.attempt, "x"}}, 0};
+    agent->handle(TimePoint(), PeerId, bind, out);
+    agent->handle(TimePoint(), PeerId, bind, out);
+    agent->taskFinished(TimePoint(), key, TaskOutcome{true, "y", {}, {}}, out);
+    agent->handle(TimePoint(), PeerId, ResultAck{{key}}, out);
+    agent->handle(TimePoint(), PeerId, bind, out);
+    CHECK(out.starts.size() == 1);
+}
+
+TEST_CASE("A repeated pull gets the same tasks and no others", "[core]")
+{
+    Outbox out;
+    const auto agent = servingAgent(out);
+    agent->peerUp(TimePoint(), peerAgent(), out);
+    agent->handle(TimePoint(), EntryId, submitOf(1, 5), out);
+    out.clear();
+    const Pull pull{PullNumber(3), submitOf(1, 5).id, 2};
+    agent->handle(TimePoint(), PeerId, pull, out);
+    agent->handle(TimePoint(), PeerId, pull, out);
+    REQUIRE(out.messages.size() == 2);
+    const Bind first = std::get<Bind>(out.messages[0].message);
+    CHECK(first.tasks.size() == 2);
+    CHECK(first == std::get<Bind>(out.messages[1].message));
+}
--- a/tests/core/faulttest.cpp
+++ b/tests/core/faulttest.cpp
@@ -157,6 +157,24 @@
     CHECK(fixture.auditor.startsOf(id) == 1);
 }
 
+TEST_CASE("A home that wakes after its results were given up doesn't start them again",
+          "[core][fault]")
+{
+    FaultSite fixture(Second);
+    const SubmissionId id = fixture.submit(3);
+    fixture.run(100 * Millisecond);
+    REQUIRE(fixture.startedAt.size() == 3);
+    fixture.site->freeze(0);
+    fixture.run(60 * Second);
+    CHECK(fixture.site->agent(1)->memory().ledgerEntries == 0);
+    fixture.site->wake(0);
+    fixture.run(10 * Second);
+    CHECK(fixture.startedAt.size() == 3);
+    const Reply reply = fixture.ask(Await{Correlation(79), id});
+    REQUIRE(reply.answer);
+    CHECK(reply.answer->reason == Reason::TaskLost);
+}
+
 TEST_CASE("A drained agent starts nothing more and its tasks run elsewhere", "[core][fault]")
 {
     FaultSite fixture(300 * Millisecond);
