--- a/source/core/admissioncontrol.cpp
+++ b/source/core/admissioncontrol.cpp
@@ -12,9 +12,9 @@
 
 // Time constant of the average of the bound work.
 constexpr double RateSeconds = 1.0;
-// Percent of the expected wait, and multiple of the median run time, that must fit in the deadline.
-constexpr int WaitMargin = 200;
-constexpr int RunTimeMargin = 2;
+// The wait is expected to be this fraction longer than estimated, because a refusal on arrival is
+// better than one at the deadline.
+constexpr int WaitMarginDivisor = 2;
 constexpr Duration MinimumRetryAfter{100'000};
 constexpr Duration NoWorkerRetryAfter{1'000'000};
 // Outputs kept for callers to fetch; with the records themselves this keeps a full home below its
@@ -26,6 +26,11 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+double decaySince(TimePoint before, TimePoint now)
+{
+    return std::exp(-std::max(0.0, seconds(now - before)) / RateSeconds);
+}
+
 Duration fromSeconds(double value)
 {
     constexpr double LongestSeconds = 3600;
@@ -46,23 +51,23 @@
 
 } // namespace
 
-std::optional<Answer> AdmissionControl::check(const Request &request) const
+std::optional<Answer> AdmissionControl::check(TimePoint now, const Request &request) const
 {
     if (!m_state.executorServes && m_state.peers.servingAgents().empty())
         return notRunAnswer(Reason::NoWorker, NoWorkerRetryAfter);
     if (m_state.records.answerBytes() > MaxAnswerBytes)
         return notRunAnswer(Reason::Overload, NoWorkerRetryAfter);
-    if (auto refusal = checkQueue(request))
+    if (auto refusal = checkQueue(now, request))
         return refusal;
-    return checkDeadline(request);
+    return checkDeadline(now, request);
 }
 
-std::optional<Answer> AdmissionControl::checkQueue(const Request &request) const
+std::optional<Answer> AdmissionControl::checkQueue(TimePoint now, const Request &request) const
 {
     const std::size_t urgency = static_cast<std::size_t>(request.urgency);
     const std::uint32_t limit = request.branch.queueLimits[urgency];
-    const Duration retryAfter =
-        std::max(MinimumRetryAfter, expectedWait(request.urgency, request.job.tasks.size() == 1));
+    const Duration retryAfter = std::max(
+        MinimumRetryAfter, expectedWait(now, request.urgency, request.job.tasks.size() == 1));
     const auto branch = m_waitingByBranch.find(request.job.branch);
     if (branch != m_waitingByBranch.end() && branch->second[urgency] >= limit)
         return notRunAnswer(Reason::QueueFull, retryAfter);
@@ -76,10 +81,10 @@
     return std::nullopt;
 }
 
-std::optional<Answer> AdmissionControl::checkDeadline(const Request &request) const
+std::optional<Answer> AdmissionControl::checkDeadline(TimePoint now, const Request &request) const
 {
-    const Duration wait = expectedWait(request.urgency, request.job.tasks.size() == 1);
-    const Duration needed = wait * WaitMargin / 100 + request.expectedRunTime * RunTimeMargin;
+    const Duration needed =
+        expectedWait(now, request.urgency, request.job.tasks.size() == 1) + request.expectedRunTime;
     if (needed <= request.deadline)
         return std::nullopt;
     return notRunAnswer(Reason::DeadlineTooShort,
@@ -114,41 +119,40 @@
 void AdmissionControl::noteBoundWork(TimePoint now, const ActiveSubmission &active, Duration work)
 {
     noteDroppedWork(active, work);
-    const double passed = std::max(0.0, seconds(now - m_lastBound));
+    const double decay = decaySince(m_lastBound, now);
     m_lastBound = now;
-    for (double &rate : m_boundRates)
-        rate *= std::exp(-passed / RateSeconds);
-    m_boundRates[queueOf(active.urgency, active.isSingle())] += seconds(work) / RateSeconds;
+    for (double &rate : m_boundRate)
+        rate *= decay;
+    m_boundRate[queueOf(active.urgency, active.isSingle())] += seconds(work) / RateSeconds;
 }
 
-double AdmissionControl::servedPerSecond(std::size_t queue) const
+double AdmissionControl::servedPerSecond(TimePoint now, std::size_t queue) const
 {
     double slots = m_state.executorServes ? m_state.executorLoad.slots : 0;
-    double freeSlots = 0;
-    double agents = 1;
+    // Free slots of other agents are a lagging hint, and all homes count on them at once.
+    double free = 0;
     for (const auto &[incarnation, peer] : m_state.peers.all()) {
-        if (!peer.up || !peer.loadKnown || peer.info.state != AgentState::Serving)
-            continue;
-        ++agents;
-        freeSlots += peer.load.freeSlots;
+        if (peer.up && peer.loadKnown && peer.info.state == AgentState::Serving)
+            free += peer.load.freeSlots;
     }
-    // All homes see the same free slots.
-    slots += freeSlots / agents;
-    const auto first = m_boundRates.begin();
-    const auto position = first + static_cast<std::ptrdiff_t>(queue);
-    const double ahead = std::accumulate(first, position, 0.0);
-    const double total = std::accumulate(position, m_boundRates.end(), ahead);
-    return std::max(1.0, std::max(slots, total) - ahead);
+    slots += free / (static_cast<double>(m_state.peers.servingCount()) + 1);
+    constexpr double LeastShare = 0.05;
+    const double decay = decaySince(m_lastBound, now);
+    const double all = decay * std::accumulate(m_boundRate.begin(), m_boundRate.end(), 0.0);
+    const double before =
+        decay * std::accumulate(m_boundRate.begin(), m_boundRate.begin() + queue, 0.0);
+    const double total = std::max({1.0, slots, all});
+    return std::max(total - before, total * LeastShare);
 }
 
-Duration AdmissionControl::expectedWait(Urgency urgency, bool single) const
+Duration AdmissionControl::expectedWait(TimePoint now, Urgency urgency, bool single) const
 {
     const std::size_t last = queueOf(urgency, single);
-    const auto first = m_queuedSeconds.begin();
-    const double ahead = std::accumulate(first, first + static_cast<std::ptrdiff_t>(last) + 1, 0.0);
+    const double ahead =
+        std::accumulate(m_queuedSeconds.begin(), m_queuedSeconds.begin() + last + 1, 0.0);
     if (ahead <= 0)
         return Duration(0);
-    return fromSeconds(ahead / servedPerSecond(last));
+    return fromSeconds(ahead / servedPerSecond(now, last));
 }
 
 std::size_t AdmissionControl::waiting() const
--- a/tests/core/faulttest.cpp
+++ b/tests/core/faulttest.cpp
@@ -21,6 +21,7 @@
         auto rules = std::make_shared<RuleSet>();
         rules->branches["b"].kinds["plain"] = KindRule();
         rules->branches["b"].kinds["idempotent"].idempotent = true;
+        rules->branches["b"].kinds["patient"].deadline = 600 * Second;
         SiteOptions options;
         options.agents.assign(agents, SiteOptions::AgentPlan{"north", 1});
         options.rules = rules;
@@ -157,6 +158,25 @@
     CHECK(fixture.auditor.startsOf(id) == 1);
 }
 
+TEST_CASE("A home that wakes after its results were given up doesn't start them again",
+          "[core][fault]")
+{
+    // The tasks end after the links were given up, so their results are still to be sent.
+    FaultSite fixture(4 * Second);
+    const SubmissionId id = fixture.submit(3, "patient");
+    fixture.run(100 * Millisecond);
+    REQUIRE(fixture.startedAt.size() == 3);
+    fixture.site->freeze(0);
+    fixture.run(60 * Second);
+    CHECK(fixture.site->agent(1)->memory().ledgerEntries == 0);
+    fixture.site->wake(0);
+    fixture.run(10 * Second);
+    CHECK(fixture.startedAt.size() == 3);
+    const Reply reply = fixture.ask(Await{Correlation(79), id});
+    REQUIRE(reply.answer);
+    CHECK(reply.answer->reason == Reason::TaskLost);
+}
+
 TEST_CASE("A drained agent starts nothing more and its tasks run elsewhere", "[core][fault]")
 {
     FaultSite fixture(300 * Millisecond);
