Trial: take back the order of single requests, keep the margins of admission

Change: the handicap is 8 times the expected run time again; the margins of admission stay. Late refusals have to be prevented by admission.

--- a/source/core/taskqueue.cpp
+++ b/source/core/taskqueue.cpp
@@ -10,9 +10,6 @@
 constexpr std::size_t MaxScanned = 64;
 // Waiting time that makes up for one unit of additional expected work.
 constexpr int AgeingWeight = 8;
-// The same for single requests. A larger one lets short requests that arrive later overtake longer
-// ones of their class until these miss their deadline.
-constexpr int SingleAgeingWeight = 1;
 // Head start of a class. Work of a lower class that has waited longer than this goes first.
 constexpr Duration UrgentHeadStart{60'000'000};
 constexpr Duration BackgroundHandicap{30'000'000};
@@ -35,8 +32,8 @@
 void TaskQueue::insert(Reservation &reservation)
 {
     const Duration work = reservation.offer.expectedRunTime * reservation.offer.tasks;
-    const int weight = reservation.offer.jobTasks == 1 ? SingleAgeingWeight : AgeingWeight;
-    reservation.rank = reservation.arrived + work * weight + classOffset(reservation.offer.urgency);
+    reservation.rank =
+        reservation.arrived + work * AgeingWeight + classOffset(reservation.offer.urgency);
     const std::uint32_t open = reservation.open();
     if (open == 0)
         return;
