Trial: divide single requests by expected run time in admission

Change: admission keeps six queues for the single requests of a class, by expected run time, in the order in which agents serve them; a queue gets the service rate that shorter ones leave.

--- a/source/core/admissioncontrol.cpp
+++ b/source/core/admissioncontrol.cpp
@@ -15,6 +15,8 @@
 // Percent of the expected wait, and multiple of the median run time, that must fit in the deadline.
 constexpr int WaitMargin = 200;
 constexpr int RunTimeMargin = 2;
+// Expected run time of the first range of single requests.
+constexpr Duration FirstSingleRange{50'000};
 constexpr Duration MinimumRetryAfter{100'000};
 constexpr Duration NoWorkerRetryAfter{1'000'000};
 // Outputs kept for callers to fetch; with the records themselves this keeps a full home below its
@@ -46,6 +48,18 @@
 
 } // namespace
 
+std::size_t AdmissionControl::queueOf(Urgency urgency, bool single, Duration expectedRunTime)
+{
+    std::size_t queue = SingleQueues;
+    if (single) {
+        queue = 0;
+        for (Duration limit = FirstSingleRange; queue + 1 < SingleQueues && expectedRunTime > limit;
+             limit *= 2)
+            ++queue;
+    }
+    return static_cast<std::size_t>(urgency) * QueuesPerClass + queue;
+}
+
 std::optional<Answer> AdmissionControl::check(const Request &request) const
 {
     if (!m_state.executorServes && m_state.peers.servingAgents().empty())
@@ -61,8 +75,9 @@
 {
     const std::size_t urgency = static_cast<std::size_t>(request.urgency);
     const std::uint32_t limit = request.branch.queueLimits[urgency];
-    const Duration retryAfter =
-        std::max(MinimumRetryAfter, expectedWait(request.urgency, request.job.tasks.size() == 1));
+    const Duration retryAfter = std::max(
+        MinimumRetryAfter,
+        expectedWait(request.urgency, request.job.tasks.size() == 1, request.expectedRunTime));
     const auto branch = m_waitingByBranch.find(request.job.branch);
     if (branch != m_waitingByBranch.end() && branch->second[urgency] >= limit)
         return notRunAnswer(Reason::QueueFull, retryAfter);
@@ -78,7 +93,8 @@
 
 std::optional<Answer> AdmissionControl::checkDeadline(const Request &request) const
 {
-    const Duration wait = expectedWait(request.urgency, request.job.tasks.size() == 1);
+    const Duration wait =
+        expectedWait(request.urgency, request.job.tasks.size() == 1, request.expectedRunTime);
     const Duration needed = wait * WaitMargin / 100 + request.expectedRunTime * RunTimeMargin;
     if (needed <= request.deadline)
         return std::nullopt;
@@ -102,12 +118,12 @@
 
 void AdmissionControl::noteQueuedWork(const ActiveSubmission &active, Duration work)
 {
-    m_queuedSeconds[queueOf(active.urgency, active.isSingle())] += seconds(work);
+    m_queuedSeconds[queueOf(active)] += seconds(work);
 }
 
 void AdmissionControl::noteDroppedWork(const ActiveSubmission &active, Duration work)
 {
-    double &queued = m_queuedSeconds[queueOf(active.urgency, active.isSingle())];
+    double &queued = m_queuedSeconds[queueOf(active)];
     queued = std::max(0.0, queued - seconds(work));
 }
 
@@ -118,7 +134,7 @@
     m_lastBound = now;
     for (double &rate : m_boundRates)
         rate *= std::exp(-passed / RateSeconds);
-    m_boundRates[queueOf(active.urgency, active.isSingle())] += seconds(work) / RateSeconds;
+    m_boundRates[queueOf(active)] += seconds(work) / RateSeconds;
 }
 
 double AdmissionControl::servedPerSecond(std::size_t queue) const
@@ -141,9 +157,10 @@
     return std::max(1.0, std::max(slots, total) - ahead);
 }
 
-Duration AdmissionControl::expectedWait(Urgency urgency, bool single) const
+Duration AdmissionControl::expectedWait(Urgency urgency, bool single,
+                                        Duration expectedRunTime) const
 {
-    const std::size_t last = queueOf(urgency, single);
+    const std::size_t last = queueOf(urgency, single, expectedRunTime);
     const auto first = m_queuedSeconds.begin();
     const double ahead = std::accumulate(first, first + static_cast<std::ptrdiff_t>(last) + 1, 0.0);
     if (ahead <= 0)
--- a/source/core/admissioncontrol.h
+++ b/source/core/admissioncontrol.h
@@ -43,15 +43,20 @@
     void noteDroppedWork(const ActiveSubmission &active, Duration work);
 
     // Time until a submission of this class would get its first task.
-    Duration expectedWait(Urgency urgency, bool single) const;
+    Duration expectedWait(Urgency urgency, bool single, Duration expectedRunTime) const;
     std::size_t waiting() const;
 
 private:
-    // Singles are served before the tasks of jobs of the same class.
-    static constexpr std::size_t QueueCount = UrgencyClasses * 2;
-    static std::size_t queueOf(Urgency urgency, bool single)
+    // Singles are served before the tasks of jobs of the same class, and short singles before
+    // longer ones. Singles are divided by their expected run time, each range twice as long as the
+    // last.
+    static constexpr std::size_t SingleQueues = 6;
+    static constexpr std::size_t QueuesPerClass = SingleQueues + 1;
+    static constexpr std::size_t QueueCount = UrgencyClasses * QueuesPerClass;
+    static std::size_t queueOf(Urgency urgency, bool single, Duration expectedRunTime);
+    static std::size_t queueOf(const ActiveSubmission &active)
     {
-        return static_cast<std::size_t>(urgency) * 2 + (single ? 0 : 1);
+        return queueOf(active.urgency, active.isSingle(), active.expectedRunTime);
     }
     std::optional<Answer> checkQueue(const Request &request) const;
     std::optional<Answer> checkDeadline(const Request &request) const;
