--- a/bench/policybench.cpp
+++ b/bench/policybench.cpp
@@ -2,6 +2,7 @@
 // and writes one JSON object per figure.
 #include "crestfigures.h"
 #include "normalfigures.h"
+#include "svgplot.h"
 
 #include <popt.h>
 
@@ -64,31 +65,47 @@
     return true;
 }
 
-} // namespace
-
-int main(int argc, const char **argv)
+std::vector<Figure> measure(const Options &options)
 {
-    Options options;
-    if (!parse(argc, argv, options))
-        return 2;
     std::ofstream discarded;
     std::ostream &log = options.verbose ? std::cout : discarded;
-    const Duration length = options.quick ? QuickLength : FullLength;
-    std::vector<Figure> figures = normalFigures(options.seed, length, log);
+    std::vector<Figure> figures =
+        normalFigures(options.seed, options.quick ? QuickLength : FullLength, log);
     figures.push_back(
         faultyMessages(options.seed, options.quick ? QuickLength : FaultyLength, log));
     const std::vector<Figure> crest =
         crestFigures(options.seed, options.quick ? QuickCrests : FullCrests, log);
     figures.insert(figures.end(), crest.begin(), crest.end());
+    return figures;
+}
+
+// Returns the exit status.
+int finish(std::ofstream &file, const std::string &name)
+{
+    file.close();
+    if (file)
+        return 0;
+    std::cerr << "bench_policy: cannot write " << name << '\n';
+    return 1;
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    Options options;
+    if (!parse(argc, argv, options))
+        return 2;
+    if (!options.plot.empty()) {
+        std::ofstream file(options.plot);
+        writeSvg(file, policyPanels(options.seed, options.quick));
+        return finish(file, options.plot);
+    }
+    const std::vector<Figure> figures = measure(options);
     writeTable(std::cout, figures);
     if (options.output.empty())
         return 0;
     std::ofstream file(options.output);
     writeJsonLines(file, figures);
-    file.close();
-    if (!file) {
-        std::cerr << "bench_policy: cannot write " << options.output << '\n';
-        return 1;
-    }
-    return 0;
+    return finish(file, options.output);
 }
