Mend lint findings of the server, its tests and the interoperability server

Cause: clang-tidy found parameters copied without need and two misnamed constants. Change: the path is moved, completions are taken by reference, constants renamed.

--- a/source/net/connectserver.cpp
+++ b/source/net/connectserver.cpp
@@ -34,7 +34,7 @@
 
 void ConnectServer::handleMethod(std::string path, Method method)
 {
-    m_listener->add("/" + path, std::move(method));
+    m_listener->add("/" + std::move(path), std::move(method));
 }
 
 void ConnectServer::handleGet(std::string path, std::function<PlainResponse()> handler)
--- a/tests/interop/interopserver.cpp
+++ b/tests/interop/interopserver.cpp
@@ -56,15 +56,17 @@
             });
         server.handle<api::SubmitRequest, api::SubmissionResponse>(
             "bluebellquay.v1.Dispatcher/Submit",
-            [this](const auto &request, const CallContext &, Done done) { submit(request, done); });
+            [this](const auto &request, const CallContext &, const Done &done) {
+                submit(request, done);
+            });
         server.handle<api::AwaitRequest, api::SubmissionResponse>(
             "bluebellquay.v1.Dispatcher/Await",
-            [this](const auto &request, const CallContext &, Done done) {
+            [this](const auto &request, const CallContext &, const Done &done) {
                 wait(request.id(), done);
             });
         server.handle<api::StatusRequest, api::SubmissionResponse>(
             "bluebellquay.v1.Dispatcher/Status",
-            [this](const auto &request, const CallContext &, Done done) {
+            [this](const auto &request, const CallContext &, const Done &done) {
                 const auto position = m_records.find(request.id());
                 if (position == m_records.end())
                     done(ConnectError{ConnectCode::NotFound, "no such submission"});
--- a/tests/net/connectrandomtest.cpp
+++ b/tests/net/connectrandomtest.cpp
@@ -14,8 +14,8 @@
 
 const std::string &goodRequest()
 {
-    static const std::string request = post(StatusPath, R"({"id":"a"})");
-    return request;
+    static const std::string Request = post(StatusPath, R"({"id":"a"})");
+    return Request;
 }
 
 // Sends the bytes, ends sending, and waits until the server has closed.
--- a/tests/net/connectservertest.cpp
+++ b/tests/net/connectservertest.cpp
@@ -18,8 +18,8 @@
 
 const std::string &goodRequest()
 {
-    static const std::string request = post(StatusPath, GoodBody);
-    return request;
+    static const std::string Request = post(StatusPath, GoodBody);
+    return Request;
 }
 
 struct Rejection
