Replace the non-throwing operator new of the net tests, too

Cause: under the address sanitizer, memory from its own non-throwing operator was freed by the test's operator delete, which it reports as a mismatch. Change: both forms are replaced. Conclusion: the sanitizer's finding was in the test program, not in the library.

--- a/tests/net/allocationwatch.cpp
+++ b/tests/net/allocationwatch.cpp
@@ -11,11 +11,16 @@
 
 } // namespace
 
-void *operator new(std::size_t size)
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept
 {
     if (size > largest.load(std::memory_order_relaxed))
         largest.store(size, std::memory_order_relaxed);
-    if (void *memory = std::malloc(std::max<std::size_t>(size, 1)))
+    return std::malloc(std::max<std::size_t>(size, 1));
+}
+
+void *operator new(std::size_t size)
+{
+    if (void *memory = operator new(size, std::nothrow))
         return memory;
     throw std::bad_alloc();
 }
