--- a/bench/messagecount.cpp
+++ b/bench/messagecount.cpp
@@ -27,6 +27,8 @@
         bound(to, *bind);
     else if (const TaskResult *result = std::get_if<TaskResult>(&message))
         finished(from, *result);
+    else if (const Reserve *reserve = std::get_if<Reserve>(&message))
+        m_singleReserves += reserve->jobTasks == 1 ? 1 : 0;
 }
 
 void MessageCount::bound(std::size_t agent, const Bind &bind)
@@ -64,7 +66,8 @@
     std::ostringstream text;
     text << "least=" << m_least << " useful_reserves=" << m_usefulReserves.size()
          << " useful_binds=" << m_usefulBinds.size() << " remote_tasks=" << m_finished.size()
-         << " empty_binds=" << m_emptyBinds << " separate_acks=" << m_separateAcks;
+         << " single_reserves=" << m_singleReserves << " empty_binds=" << m_emptyBinds
+         << " separate_acks=" << m_separateAcks;
     for (std::size_t kind = 0; kind < m_counts.size(); ++kind) {
         if (m_counts[kind] > 0)
             text << ' ' << messageKindName(kind) << '=' << m_counts[kind];
--- a/bench/messagecount.h
+++ b/bench/messagecount.h
@@ -51,6 +51,8 @@
     std::uint64_t m_least = 0;
     std::uint64_t m_separateAcks = 0;
     std::uint64_t m_emptyBinds = 0;
+    // Reserves of single requests; the others are of jobs.
+    std::uint64_t m_singleReserves = 0;
     std::map<Link, LinkState> m_links;
     std::unordered_map<TaskKey, BindId> m_binds;
     std::set<BindId> m_usefulBinds;
