--- a/source/base/job.h
+++ b/source/base/job.h
@@ -46,9 +46,11 @@
     std::string team;
     std::string kind;
     ResourceNeed need;
-    // Set if the exceptions of the branch ask for urgent treatment and the rule of the kind allows
-    // it.
+    // The exceptions of the branch ask for urgent treatment. Whether the rule of the kind allows it
+    // is for the home to say: the digest of a job must not depend on the rules in force.
     bool raised = false;
+    // What the exceptions of the branch refer to: sheet and revision, or member and pan.
+    std::string reference;
     // Never empty in a valid job.
     std::vector<TaskSpec> tasks;
 
--- a/source/core/agentcore.cpp
+++ b/source/core/agentcore.cpp
@@ -177,8 +177,10 @@
 void AgentCore::connect(TimePoint now, const ProcessInfo &peer)
 {
     m_peers->connect(peer);
-    if (peer.role != ProcessRole::Agent)
+    if (peer.role != ProcessRole::Agent) {
+        m_home->entryUp(peer.incarnation, m_pending);
         return;
+    }
     // A process that was restarted under the same name doesn't come back as what it was.
     for (const Incarnation older : m_peers->olderRuns(peer))
         m_home->agentLost(now, older, m_pending);
--- a/source/core/handoverdesk.cpp
+++ b/source/core/handoverdesk.cpp
@@ -159,6 +159,14 @@
         && position->second.parts.size() == *position->second.last + 1;
 }
 
+void HandoverDesk::announceTo(Incarnation entry, Outbox &out) const
+{
+    for (const auto &[home, adoption] : m_adopted) {
+        if (answersFor(home))
+            out.send(entry, Succeeded{Succession{home, m_state.self()}});
+    }
+}
+
 void HandoverDesk::expire()
 {
     std::erase_if(m_adopted, [this](const auto &entry) {
--- a/source/core/handoverdesk.h
+++ b/source/core/handoverdesk.h
@@ -30,6 +30,9 @@
     void adopt(Incarnation from, const Handover &message, Outbox &out);
     // True if all records of this home have arrived here.
     bool answersFor(Incarnation home) const;
+    // Tells an entry that links which homes this agent answers for: the home itself told only the
+    // entries that were linked when it stopped.
+    void announceTo(Incarnation entry, Outbox &out) const;
     // Forgets homes whose records are no longer kept.
     void expire();
     std::size_t adoptedHomes() const { return m_adopted.size(); }
--- a/source/core/homecore.h
+++ b/source/core/homecore.h
@@ -38,6 +38,7 @@
     void agentLost(TimePoint now, Incarnation agent, Outbox &out);
     // An agent, possibly this one, started to serve.
     void agentServes(TimePoint now, Incarnation agent, Outbox &out);
+    void entryUp(Incarnation entry, Outbox &out) { m_handover.announceTo(entry, out); }
     void entryDown(Incarnation entry);
 
     void setRules(std::shared_ptr<const RuleSet> rules) { m_state.rules = std::move(rules); }
--- a/source/core/jobvalidator.cpp
+++ b/source/core/jobvalidator.cpp
@@ -15,7 +15,8 @@
 struct BranchExceptions
 {
     bool raise = false;
-    bool hasReference = false;
+    // Empty unless both parts are given.
+    std::string reference;
 };
 
 boost::leaf::error_id reject(std::string message)
@@ -23,13 +24,21 @@
     return boost::leaf::new_error(JobError{std::move(message)});
 }
 
+// The length of the first part keeps two different pairs from having one text.
+std::string referenceOf(const std::string &first, const std::string &second)
+{
+    if (first.empty() || second.empty())
+        return {};
+    return std::to_string(first.size()) + ":" + first + "/" + second;
+}
+
 std::optional<BranchExceptions> unpackHinokuni(const google::protobuf::Any &any)
 {
     hinokuni::v1::Exceptions exceptions;
     if (!any.UnpackTo(&exceptions))
         return std::nullopt;
     return BranchExceptions{exceptions.panel_open(),
-                            !exceptions.sheet().empty() && !exceptions.revision().empty()};
+                            referenceOf(exceptions.sheet(), exceptions.revision())};
 }
 
 std::optional<BranchExceptions> unpackMaras(const google::protobuf::Any &any)
@@ -38,7 +47,7 @@
     if (!any.UnpackTo(&exceptions))
         return std::nullopt;
     return BranchExceptions{exceptions.families_waiting(),
-                            !exceptions.member().empty() && !exceptions.pan().empty()};
+                            referenceOf(exceptions.member(), exceptions.pan())};
 }
 
 boost::leaf::result<BranchExceptions> readExceptions(const bluebellquay::v1::Job &job)
@@ -116,13 +125,14 @@
         return reject("job.team: required, since the branch shares its slots by team");
     BOOST_LEAF_CHECK(checkTasks(job));
     BOOST_LEAF_AUTO(exceptions, readExceptions(job));
-    if (kind->second.requiresReference && !exceptions.hasReference)
+    if (kind->second.requiresReference && exceptions.reference.empty())
         return reject("job.exceptions: kind \"" + job.kind()
                       + "\" requires what it refers to (sheet and revision, or member and pan)");
 
     ValidJob valid{convert(job), kind->second.urgency};
-    valid.job.raised = exceptions.raise && kind->second.allowRaise;
-    if (valid.job.raised)
+    valid.job.raised = exceptions.raise;
+    valid.job.reference = std::move(exceptions.reference);
+    if (valid.job.raised && kind->second.allowRaise)
         valid.urgency = Urgency::Urgent;
     return valid;
 }
--- a/source/daemons/entry/conversions.cpp
+++ b/source/daemons/entry/conversions.cpp
@@ -1,5 +1,7 @@
 #include "daemons/entry/conversions.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -31,12 +33,20 @@
         std::clamp<std::int64_t>(milliseconds, 1, std::numeric_limits<std::uint32_t>::max()));
 }
 
+// Upstreams choose their error texts; a protobuf string with invalid UTF-8 could not be sent.
+std::string validUtf8(const std::string &text)
+{
+    using Json = nlohmann::json;
+    return Json::parse(Json(text).dump(-1, ' ', false, Json::error_handler_t::replace))
+        .get<std::string>();
+}
+
 void setAnswer(Answer answer, bluebellquay::v1::SubmissionResponse &response)
 {
     response.set_outcome(toProto(answer.outcome));
     if (answer.reason != Reason::None)
         response.set_reason(std::string(toString(answer.reason)));
-    response.set_detail(std::move(answer.detail));
+    response.set_detail(validUtf8(answer.detail));
     if (answer.retryAfter)
         response.set_retry_after_ms(toRetryMs(*answer.retryAfter));
     response.mutable_outputs()->Reserve(static_cast<int>(answer.outputs.size()));
--- a/source/net/messagefields.h
+++ b/source/net/messagefields.h
@@ -40,7 +40,7 @@
 template <>
 inline constexpr auto WireFields<Job> = std::make_tuple(&Job::branch, &Job::customer, &Job::team,
                                                         &Job::kind, &Job::need, &Job::raised,
-                                                        &Job::tasks);
+                                                        &Job::reference, &Job::tasks);
 template <>
 inline constexpr auto WireFields<Answer> = std::make_tuple(&Answer::outcome, &Answer::reason,
                                                            &Answer::detail, &Answer::retryAfter,
--- a/tests/core/agentcoretest.cpp
+++ b/tests/core/agentcoretest.cpp
@@ -96,6 +96,55 @@
     CHECK(std::get<Reply>(out.messages[1].message).answer->reason == Reason::CancelledBeforeStart);
 }
 
+// Guards against callers that raise themselves where the branch's operators do not allow it.
+TEST_CASE("A request is raised to urgent only where the rule allows it", "[core]")
+{
+    for (const bool allowed : {false, true}) {
+        Outbox out;
+        const auto agent = servingAgent(out);
+        auto rules = std::make_shared<RuleSet>();
+        rules->branches["hinokuni"].kinds["fetch"].allowRaise = allowed;
+        agent->setRules(TimePoint(), ConfigVersion(2), rules, out);
+        ProcessInfo peer;
+        peer.incarnation = Incarnation(20);
+        peer.name = "peer";
+        agent->peerUp(TimePoint(), peer, out);
+        Heartbeat heartbeat;
+        heartbeat.state = AgentState::Serving;
+        heartbeat.load.slots = heartbeat.load.freeSlots = 8;
+        agent->handle(TimePoint(), peer.incarnation, heartbeat, out);
+        Submit submit = submitOf(1, 5);
+        submit.job.raised = true;
+        agent->handle(TimePoint(), EntryId, submit, out);
+        const Reserve *reserve = nullptr;
+        for (const Envelope &envelope : out.messages) {
+            if (const auto *found = std::get_if<Reserve>(&envelope.message))
+                reserve = found;
+        }
+        REQUIRE(reserve != nullptr);
+        CHECK(reserve->urgency == (allowed ? Urgency::Urgent : Urgency::Normal));
+    }
+}
+
+// Guards against an entry that was not linked when a home stopped and so never learns its
+// successor.
+TEST_CASE("A successor tells each entry that links which homes it answers for", "[core]")
+{
+    Outbox out;
+    const auto agent = servingAgent(out);
+    const Incarnation stopped(30);
+    agent->handle(TimePoint(), stopped, Handover{stopped, 0, true, {}}, out);
+    out.clear();
+    ProcessInfo entry;
+    entry.incarnation = EntryId;
+    entry.role = ProcessRole::Entry;
+    agent->peerUp(TimePoint(), entry, out);
+    REQUIRE(out.messages.size() == 1);
+    CHECK(out.messages[0].to == EntryId);
+    const Succession succession = std::get<Succeeded>(out.messages[0].message).succession;
+    CHECK(succession == Succession{stopped, AgentId});
+}
+
 // Guards against entries that issue ids of a home which refuses each submission: a restarted agent
 // without rules reported itself as serving.
 TEST_CASE("An agent serves only when it has rules", "[core]")
@@ -111,6 +160,7 @@
     CHECK(agent->heartbeat(TimePoint()).state == AgentState::Starting);
     agent->setRules(TimePoint(), ConfigVersion(1), std::make_shared<RuleSet>(), out);
     CHECK(agent->heartbeat(TimePoint()).state == AgentState::Serving);
+}
 
 TEST_CASE("A task reported as not started is not started by a late bind", "[core]")
 {
