Settle the findings of clang-tidy on the process benchmarks

Cause: clang-tidy reported two vectors that grow in a loop and a division by a number of entries that may be 0. Change: reserve the vectors; report a site without entries as an error.

--- a/bench/process/configinforce.cpp
+++ b/bench/process/configinforce.cpp
@@ -71,8 +71,11 @@
 
 Measures measureConfigInForce(Testing::Site &site, bool quick)
 {
+    const unsigned entries = site.layout().entries;
+    if (entries == 0)
+        throw std::runtime_error("the site has no entry");
     std::vector<std::string> processes;
-    for (unsigned i = 0; i < site.layout().entries; ++i)
+    for (unsigned i = 0; i < entries; ++i)
         processes.push_back(site.entryAdminAddress(i));
     for (unsigned i = 0; i < site.layout().agents; ++i)
         processes.push_back(site.agentAdminAddress(i));
@@ -81,7 +84,7 @@
     double longest = 0;
     for (unsigned i = 0; i < changes; ++i) {
         // Entries in turn: the others learn of the change from the table or from agents.
-        version = apply(site, i % site.layout().entries, version);
+        version = apply(site, i % entries, version);
         const Clock::time_point accepted = Clock::now();
         for (const std::string &process : processes) {
             site.waitFor("version " + std::to_string(version) + " at " + process, [&] {
--- a/bench/process/entrythroughput.cpp
+++ b/bench/process/entrythroughput.cpp
@@ -73,6 +73,7 @@
         loads.push_back(startLoad(address, i + 1, seconds));
     LoadResult result;
     std::vector<nlohmann::json> summaries;
+    summaries.reserve(loads.size());
     for (const auto &load : loads)
         summaries.push_back(
             nlohmann::json::parse(load->finish(std::chrono::seconds(seconds) + ToolGrace)));
--- a/bench/process/idlecost.cpp
+++ b/bench/process/idlecost.cpp
@@ -48,6 +48,7 @@
                      const std::vector<IdleCost> &sites, double IdleCost::*value)
 {
     std::vector<std::pair<double, double>> points;
+    points.reserve(sites.size());
     for (const IdleCost &site : sites)
         points.emplace_back(site.agents, site.*value);
     const LinearFit fit = LinearFit::through(points);
