--- a/source/base/messages.h
+++ b/source/base/messages.h
@@ -52,6 +52,7 @@
     TaskIndex index;
     TaskAttempt attempt;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted comparison.
     friend auto operator<=>(const TaskKey &, const TaskKey &) = default;
 };
 
