--- a/tests/core/entryconfigtest.cpp
+++ b/tests/core/entryconfigtest.cpp
@@ -32,12 +32,12 @@
         keeper.apply(now, CallId(++calls), change, Duration(10'000'000), out);
     }
     // Answers the read that was asked for last.
-    void answerRead(std::optional<TableRow> row)
+    void answerRead(const std::optional<TableRow> &row)
     {
         REQUIRE_FALSE(out.reads.empty());
         const TableOperation operation = out.reads.back().operation;
         out.reads.clear();
-        keeper.rowRead(now, operation, std::move(row), out);
+        keeper.rowRead(now, operation, row, out);
     }
     TablePut takeWrite()
     {
--- a/tests/core/faulttest.cpp
+++ b/tests/core/faulttest.cpp
@@ -246,6 +246,7 @@
 {
     FaultSite fixture(300 * Millisecond);
     std::vector<SubmissionId> ids;
+    ids.reserve(50);
     for (int i = 0; i < 50; ++i)
         ids.push_back(fixture.submit(5));
     fixture.run(400 * Millisecond);
--- a/tests/core/virtualsite.cpp
+++ b/tests/core/virtualsite.cpp
@@ -119,9 +119,8 @@
     for (Envelope &envelope : out.messages)
         send(position, envelope.to, std::move(envelope.message));
     for (StartTask &task : out.starts) {
-        after(UpstreamDelay, [this, position, start = std::move(task)]() mutable {
-            startTask(position, std::move(start));
-        });
+        after(UpstreamDelay,
+              [this, position, start = std::move(task)] { startTask(position, start); });
     }
     for (const StopTask &task : out.stops) {
         after(UpstreamDelay,
@@ -227,7 +226,7 @@
              });
 }
 
-void VirtualSite::startTask(std::size_t position, StartTask task)
+void VirtualSite::startTask(std::size_t position, const StartTask &task)
 {
     if (m_options.started)
         m_options.started(task, position);
--- a/tests/core/virtualsite.h
+++ b/tests/core/virtualsite.h
@@ -151,7 +151,7 @@
     bool send(std::size_t from, Incarnation to, Message message);
     void deliver(std::size_t from, Incarnation fromIncarnation, std::size_t to,
                  Incarnation toIncarnation, Message message);
-    void startTask(std::size_t position, StartTask task);
+    void startTask(std::size_t position, const StartTask &task);
     void sideDown(std::size_t self, std::size_t other, std::uint64_t generation);
     void dial(std::size_t a, std::size_t b);
     void connect(std::size_t a, std::size_t b);
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -137,7 +137,7 @@
 
 std::string Site::linkCommand(const std::string &command)
 {
-    const std::string reply = m_proxy->execute(command);
+    std::string reply = m_proxy->execute(command);
     if (reply.compare(0, 2, "ok") != 0)
         throw std::runtime_error("fault proxy: " + command + ": " + reply);
     return reply;
