--- a/bench/benchreport.cpp
+++ b/bench/benchreport.cpp
@@ -18,8 +18,11 @@
     const auto position = result.find(key);
     if (position == result.end() || position->is_null())
         return "-";
-    if (!position->is_number())
+    if (position->is_string())
         return position->get<std::string>();
+    // bench_policy gives the ratios to several baselines as an object.
+    if (!position->is_number())
+        return position->dump();
     std::ostringstream text;
     text << std::setprecision(5) << position->get<double>();
     return text.str();
