--- a/source/daemons/agent/agentdaemon.cpp
+++ b/source/daemons/agent/agentdaemon.cpp
@@ -86,6 +86,7 @@
     , m_self(describeSelf(m_settings.process))
     , m_timers(context)
     , m_coreMetrics(m_metrics)
+    , m_runTimes(m_metrics.histogram("bluebellquay_run_seconds"))
     , m_runner(context, m_timers,
                [this](const TaskKey &task, RunEnd end, const TaskOutcome &outcome) {
                    taskEnded(task, end, outcome);
@@ -348,6 +349,8 @@
 
 void AgentDaemon::taskEnded(const TaskKey &task, RunEnd end, const TaskOutcome &outcome)
 {
+    if (end == RunEnd::Finished)
+        m_runTimes.record(std::chrono::duration<double>(outcome.runTime).count());
     drive([&](TimePoint now, Outbox &out) {
         switch (end) {
         case RunEnd::Finished:
--- a/source/daemons/agent/agentdaemon.h
+++ b/source/daemons/agent/agentdaemon.h
@@ -70,6 +70,8 @@
     ServiceRegistry m_services;
     std::unique_ptr<AgentCore> m_core;
     CoreMetrics m_coreMetrics;
+    // Time of each finished task on the upstream.
+    TimeHistogram &m_runTimes;
     UpstreamRunner m_runner;
     LinkPlan m_linkPlan;
     std::unique_ptr<PeerNode> m_peers;
--- a/tests/process/wholepathtest.cpp
+++ b/tests/process/wholepathtest.cpp
@@ -35,6 +35,13 @@
     const bluebellquay::v1::SubmissionResponse first = caller.submitUntilFinal(id, job);
     CHECK(isWholeAnswer(first, JobTasks, "j"));
 
+    SECTION("each finished task is in the histogram of run times")
+    {
+        double finished = 0;
+        for (unsigned i = 0; i < site.layout().agents; ++i)
+            finished += site.metric(site.agentAdminAddress(i), "bluebellquay_run_seconds_count");
+        CHECK(finished == JobTasks + 1);
+    }
     SECTION("a repeat through another entry gets the same answer and starts nothing")
     {
         const auto before = site.startCounts();
