Share the settings text of the test site; tell peers an IPv6 address in brackets

Site wrote the keys common to entries and agents twice, and the agent put its peer address together by hand, without the brackets that an IPv6 address needs and that the entry writes. Change: one function for the common keys; the agent uses the stream form of the endpoint, as the entry does. There is no test with an IPv6 listener.

--- a/source/daemons/agent/agentdaemon.cpp
+++ b/source/daemons/agent/agentdaemon.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <sstream>
 #include <utility>
 
 namespace Bluebellquay {
@@ -28,9 +29,12 @@
     self.dataCentre = settings.dataCentre;
     self.region = settings.region;
     self.address = settings.peerAdvertise;
-    if (self.address.empty())
-        self.address = settings.peerListen.address().to_string() + ":"
-            + std::to_string(settings.peerListen.port());
+    if (self.address.empty()) {
+        // The stream form puts an IPv6 address into brackets.
+        std::ostringstream text;
+        text << settings.peerListen;
+        self.address = text.str();
+    }
     return self;
 }
 
--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -61,12 +61,12 @@
     for (unsigned i = 0; i < m_layout.entries; ++i) {
         const unsigned short peer = m_ports.next();
         const unsigned short dial = relayFor("entry-" + std::to_string(i), peer);
-        m_entryPorts.push_back({peer, dial, m_ports.next(), m_ports.next(), m_ports.next()});
+        m_entryPorts.push_back({{peer, dial, m_ports.next()}, m_ports.next(), m_ports.next()});
     }
     for (unsigned i = 0; i < m_layout.agents; ++i) {
         const unsigned short peer = m_ports.next();
         const unsigned short dial = relayFor("agent-" + std::to_string(i), peer);
-        m_agentPorts.push_back({peer, dial, m_ports.next(), m_ports.next()});
+        m_agentPorts.push_back({{peer, dial, m_ports.next()}, m_ports.next()});
     }
     writeFile("peer.secret", "peer-secret-of-a-test", true);
     writeFile("operator.secret", m_operatorSecret, true);
@@ -88,18 +88,26 @@
         chmod(path(file).c_str(), 0600);
 }
 
-std::string Site::entrySettings(unsigned number) const
+std::string Site::processSettings(const std::string &role, unsigned number,
+                                  const ProcessPorts &ports) const
 {
-    const EntryPorts &ports = m_entryPorts.at(number);
     std::ostringstream text;
-    text << "name = \"entry-" << number << "\"\n"
+    text << "name = \"" << role << '-' << number << "\"\n"
          << "data_centre = \"" << m_layout.dataCentres[number % m_layout.dataCentres.size()]
          << "\"\nregion = \"test\"\n"
          << "peer_listen = \"" << address(ports.peer) << "\"\n"
          << "peer_advertise = \"" << address(ports.peerDial) << "\"\n"
          << "peer_secret_file = \"" << path("peer.secret") << "\"\n"
-         << "admin_listen = \"" << address(ports.admin) << "\"\n"
-         << "caller_listen = \"" << address(ports.caller) << "\"\n"
+         << "admin_listen = \"" << address(ports.admin) << "\"\n";
+    return text.str();
+}
+
+std::string Site::entrySettings(unsigned number) const
+{
+    const EntryPorts &ports = m_entryPorts.at(number);
+    std::ostringstream text;
+    text << processSettings("entry", number, ports) << "caller_listen = \"" << address(ports.caller)
+         << "\"\n"
          << "operator_listen = \"" << address(ports.operators) << "\"\n"
          << "operator_secret_file = \"" << path("operator.secret") << "\"\n"
          << "table_address = \"" << tableAddress() << "\"\n"
@@ -112,14 +120,8 @@
 {
     const AgentPorts &ports = m_agentPorts.at(number);
     std::ostringstream text;
-    text << "name = \"agent-" << number << "\"\n"
-         << "data_centre = \"" << m_layout.dataCentres[number % m_layout.dataCentres.size()]
-         << "\"\nregion = \"test\"\n"
-         << "peer_listen = \"" << address(ports.peer) << "\"\n"
-         << "peer_advertise = \"" << address(ports.peerDial) << "\"\n"
-         << "peer_secret_file = \"" << path("peer.secret") << "\"\n"
-         << "admin_listen = \"" << address(ports.admin) << "\"\n"
-         << "upstream_listen = \"" << address(ports.upstream) << "\"\nentries = [";
+    text << processSettings("agent", number, ports) << "upstream_listen = \""
+         << address(ports.upstream) << "\"\nentries = [";
     for (std::size_t i = 0; i < m_entryPorts.size(); ++i)
         text << (i == 0 ? "" : ", ") << '"' << address(m_entryPorts[i].peerDial) << '"';
     text << "]\n" << m_layout.agentExtra;
--- a/tests/process/site.h
+++ b/tests/process/site.h
@@ -108,20 +108,26 @@
                  std::chrono::milliseconds limit = std::chrono::seconds(60)) const;
 
 private:
-    struct EntryPorts
+    struct ProcessPorts
     {
         // peerDial is where peers reach the process: its own port, or that of a relay.
-        unsigned short peer, peerDial, admin, caller, operators;
+        unsigned short peer, peerDial, admin;
     };
-    struct AgentPorts
+    struct EntryPorts : ProcessPorts
     {
-        unsigned short peer, peerDial, admin, upstream;
+        unsigned short caller, operators;
+    };
+    struct AgentPorts : ProcessPorts
+    {
+        unsigned short upstream;
     };
 
     static std::string address(unsigned short port) { return "127.0.0.1:" + std::to_string(port); }
     std::string path(const std::string &file) const { return m_directory + "/" + file; }
     void writeFile(const std::string &file, const std::string &text, bool secret = false) const;
     unsigned short relayFor(const std::string &name, unsigned short port);
+    std::string processSettings(const std::string &role, unsigned number,
+                                const ProcessPorts &ports) const;
     std::string entrySettings(unsigned number) const;
     std::string agentSettings(unsigned number) const;
     void start(const std::string &name, const std::vector<std::string> &command);
