--- a/source/base/messages.h
+++ b/source/base/messages.h
@@ -5,6 +5,7 @@
 #include "base/answer.h"
 #include "base/coretime.h"
 #include "base/job.h"
+#include "base/runmessages.h"
 #include "base/submissionid.h"
 
 #include <array>
@@ -411,7 +412,8 @@
 using Message = std::variant<Hello, Heartbeat, Directory, ConfigDocument, ConfigRequest, Submit,
                              Await, StopWaiting, Cancel, Refuse, Query, Reply, Reserve, Pull, Bind,
                              TaskResult, ResultAck, Withdraw, TaskQuery, TaskState, Handover,
-                             HandoverAck, Succeeded, Drain, DrainAck>;
+                             HandoverAck, Succeeded, Drain, DrainAck, StartRuns, StopRuns,
+                             RunsAtAgent, RunsEnded, WorkerRoom, ReleaseJob, JobReleased>;
 
 } // namespace Bluebellquay
 
--- /dev/null
+++ b/source/core/keyedjob.h
@@ -0,0 +1,94 @@
+// A job that was submitted under a key chosen by its caller, as the home of the job sees it.
+#pragma once
+
+#include "base/runmessages.h"
+#include "core/entryoutbox.h"
+#include "core/queuerules.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Bluebellquay {
+
+// A step is a set of equal tasks.
+struct KeyedStep
+{
+    std::uint32_t tasks = 1;
+    // Of each task.
+    ResourceNeed need;
+    // Rough estimate by the caller.
+    Duration declaredRunTime{0};
+    // Steps whose tasks must all be done before; each is smaller than the number of this one.
+    std::vector<std::uint32_t> after;
+};
+
+struct KeyedJobSpec
+{
+    JobKey key;
+    std::string payload;
+    std::vector<KeyedStep> steps;
+};
+
+// Number of tasks of all steps.
+std::size_t taskCount(const KeyedJobSpec &job);
+
+enum class TaskPhase : std::uint8_t {
+    Blocked, // by an earlier step
+    Ready,   // waits for a worker
+    Delayed, // waits for the time of its next try
+    Ordered, // at an agent
+    Done,
+};
+
+struct KeyedTask
+{
+    TaskPhase phase = TaskPhase::Blocked;
+    // Valid while ordered.
+    Incarnation agent;
+    RunNumber run;
+    std::uint32_t failures = 0;
+    // Orders that came back without a start.
+    std::uint32_t returned = 0;
+    // Agent of the last run that did not succeed.
+    Incarnation avoided;
+};
+
+struct KeyedJob
+{
+    KeyedJobSpec spec;
+    QueueRule rule;
+    // Calls that wait for the answer; empty once the job is released.
+    std::vector<CallId> calls;
+    TimePoint arrived;
+    // By then the caller has stopped waiting.
+    TimePoint deadline;
+    // By then the job should be done; orders the jobs.
+    TimePoint objective;
+    // Tasks by step.
+    std::vector<std::vector<KeyedTask>> tasks;
+    std::uint32_t ordersSent = 0;
+    // Runs that may be at an agent.
+    std::uint32_t openRuns = 0;
+    std::uint32_t tasksLeft = 0;
+    // Highest run number used for any of its tasks.
+    RunNumber lastRun;
+    // Nobody waits for the answer any more, or it has been given: runs are being stopped.
+    bool released = false;
+    // Submission under the same key that waits until no run of this one is left.
+    struct Successor
+    {
+        KeyedJobSpec spec;
+        QueueRule rule;
+        std::vector<CallId> calls;
+        TimePoint arrived;
+        TimePoint deadline;
+    };
+    std::optional<Successor> successor;
+    // Entries that asked for the release, with the numbers of their requests.
+    std::vector<std::pair<Incarnation, ReleaseNumber>> releaseCallers;
+};
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/rundispatcher.cpp
@@ -0,0 +1,576 @@
+#include "core/rundispatcher.h"
+
+#include "kernel/log.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Bluebellquay {
+
+namespace {
+
+// Tasks that are tried in one turn beyond those that no worker has room for.
+constexpr int LookAhead = 24;
+// A job that is done within this multiple of its objective is still of use to its caller.
+constexpr int UsefulLateness = 3;
+constexpr Duration DeclaredUnit{1'000'000};
+// The first retry of a returned order, doubled with each further one.
+constexpr Duration FirstReturnDelay{2'000};
+constexpr unsigned LongestReturnDelayShift = 6;
+// Run numbers skipped after a returned order: the worker may know higher ones from an earlier home.
+constexpr std::uint64_t ReturnedRunStep = 32;
+constexpr Duration ShortestRetryAfter{1'000'000};
+constexpr Duration LongestRetryAfter{10'000'000};
+
+std::string keyText(JobKey key)
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    constexpr int Width = 16;
+    std::string text(Width, '0');
+    for (int i = 0; i < Width; ++i)
+        text[static_cast<std::size_t>(Width - 1 - i)] = Digits[(key.value() >> (4 * i)) & 0xf];
+    return text;
+}
+
+} // namespace
+
+std::size_t taskCount(const KeyedJobSpec &job)
+{
+    std::size_t count = 0;
+    for (const KeyedStep &step : job.steps)
+        count += step.tasks;
+    return count;
+}
+
+RunDispatcher::RunDispatcher(RunDispatcherSettings settings)
+    : m_settings(std::move(settings))
+{ }
+
+void RunDispatcher::submit(TimePoint now, CallId call, KeyedJobSpec spec, const QueueRule &rule,
+                           std::optional<Duration> timeout, RunNumber firstRun, DispatchOutbox &out)
+{
+    ++m_statistics.jobsSubmitted;
+    const TimePoint deadline = now + timeout.value_or(m_settings.defaultTimeout);
+    const auto known = m_jobs.find(spec.key);
+    if (known != m_jobs.end()) {
+        m_calls[call] = spec.key;
+        KeyedJob &job = known->second;
+        if (!job.released) {
+            job.calls.push_back(call);
+            job.deadline = std::max(job.deadline, deadline);
+            m_timers.schedule(deadline, Timer{TimerKind::Deadline, {spec.key, 0, 0}, {}});
+            return;
+        }
+        if (!job.successor)
+            job.successor = KeyedJob::Successor{std::move(spec), rule, {}, now, deadline};
+        job.successor->calls.push_back(call);
+        return;
+    }
+    KeyedJob job;
+    job.spec = std::move(spec);
+    job.rule = rule;
+    job.calls.push_back(call);
+    job.arrived = now;
+    job.deadline = deadline;
+    job.lastRun = firstRun;
+    if (m_jobs.size() >= m_settings.maxJobs) {
+        ++m_statistics.jobsRefused;
+        out.answers.push_back({call, refusal(now, job, Reason::Overload)});
+        return;
+    }
+    m_calls[call] = job.spec.key;
+    open(now, std::move(job), out);
+    dispatch(now, out);
+}
+
+void RunDispatcher::open(TimePoint now, KeyedJob opened, DispatchOutbox &)
+{
+    const JobKey key = opened.spec.key;
+    KeyedJob &job = m_jobs[key];
+    job = std::move(opened);
+    const Duration chain = expectedChain(job);
+    const auto slack = std::chrono::duration_cast<Duration>(chain * job.rule.slackFactor);
+    const Duration objective = slack + job.rule.allowance;
+    job.objective = job.arrived + objective;
+    job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
+    for (const KeyedStep &step : job.spec.steps)
+        job.tasks.emplace_back(step.tasks);
+    unblockSteps(now, job);
+    const TimePoint useless = job.arrived + objective * UsefulLateness;
+    const TimePoint hopeless = std::min(useless, job.deadline) - chain;
+    m_timers.schedule(std::max(now, hopeless), Timer{TimerKind::Hopeless, {key, 0, 0}, {}});
+    m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
+}
+
+Duration RunDispatcher::expectedRunTime(const KeyedJob &job, std::uint32_t step) const
+{
+    const Duration declared = job.spec.steps[step].declaredRunTime;
+    const Duration ratio = m_ratios.expected(job.rule.name, {}, DeclaredUnit);
+    const double factor =
+        static_cast<double>(ratio.count()) / static_cast<double>(DeclaredUnit.count());
+    return std::chrono::duration_cast<Duration>(declared * factor);
+}
+
+Duration RunDispatcher::expectedChain(const KeyedJob &job) const
+{
+    std::vector<Duration> ends;
+    Duration longest{0};
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        Duration begin{0};
+        for (const std::uint32_t earlier : job.spec.steps[step].after)
+            begin = std::max(begin, ends[earlier]);
+        ends.push_back(begin + expectedRunTime(job, step));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+void RunDispatcher::unblockSteps(TimePoint, KeyedJob &job)
+{
+    const auto done = [&](std::uint32_t step) {
+        return std::all_of(job.tasks[step].begin(), job.tasks[step].end(),
+                           [](const KeyedTask &task) { return task.phase == TaskPhase::Done; });
+    };
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        if (job.tasks[step].empty() || job.tasks[step].front().phase != TaskPhase::Blocked)
+            continue;
+        const auto &after = job.spec.steps[step].after;
+        if (!std::all_of(after.begin(), after.end(), done))
+            continue;
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+            job.tasks[step][index].phase = TaskPhase::Ready;
+            makeReady(job, step, index);
+        }
+    }
+}
+
+void RunDispatcher::makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index)
+{
+    m_ready.emplace(job.objective, TaskRef{job.spec.key, step, index});
+}
+
+void RunDispatcher::dispatch(TimePoint now, DispatchOutbox &out)
+{
+    Batches batches;
+    int unplaced = 0;
+    for (auto position = m_ready.begin(); position != m_ready.end() && unplaced < LookAhead;) {
+        const auto current = position++;
+        const TaskRef ref = current->second;
+        KeyedJob &job = m_jobs.at(ref.job);
+        const KeyedTask &task = job.tasks[ref.step][ref.index];
+        const PlacementRequest request{job.rule.service, job.spec.steps[ref.step].need,
+                                       expectedRunTime(job, ref.step), m_settings.dataCentre,
+                                       task.avoided};
+        const std::optional<Incarnation> agent = m_settings.choice.choose(m_board, request);
+        if (!agent) {
+            ++unplaced;
+            continue;
+        }
+        m_ready.erase(current);
+        order(now, job, ref, *agent, batches);
+    }
+    for (auto &[target, message] : batches)
+        out.messages.emplace_back(std::get<Incarnation>(target), std::move(message));
+}
+
+void RunDispatcher::order(TimePoint now, KeyedJob &job, const TaskRef &ref, Incarnation agent,
+                          Batches &batches)
+{
+    KeyedTask &task = job.tasks[ref.step][ref.index];
+    const KeyedStep &step = job.spec.steps[ref.step];
+    task.phase = TaskPhase::Ordered;
+    task.agent = agent;
+    // Numbers of a task rise; the job's counter keeps them apart from those of earlier runs.
+    const std::uint64_t skipped = task.returned * ReturnedRunStep;
+    task.run = RunNumber(std::max(task.run, job.lastRun).value() + 1 + skipped);
+    ++job.ordersSent;
+    ++job.openRuns;
+    ++m_statistics.orders;
+    m_runsAt[agent].insert(RunKey{ref.job, ref.step, ref.index, task.run});
+
+    StartRuns &message = batches[{agent, ref.job, ref.step}];
+    if (message.orders.empty()) {
+        message.job = ref.job;
+        message.step = ref.step;
+        message.payload = job.spec.payload;
+        message.need = step.need;
+        message.timeLeft = std::max(job.objective - now, Duration(0));
+    }
+    message.orders.push_back(
+        {ref.index, task.run, m_board.book(agent, step.need), expectedRunTime(job, ref.step)});
+}
+
+void RunDispatcher::callerLeft(TimePoint now, CallId call, DispatchOutbox &out)
+{
+    const auto position = m_calls.find(call);
+    if (position == m_calls.end())
+        return;
+    const JobKey key = position->second;
+    m_calls.erase(position);
+    KeyedJob &job = m_jobs.at(key);
+    std::erase(job.calls, call);
+    if (job.successor) {
+        std::erase(job.successor->calls, call);
+        if (job.successor->calls.empty())
+            job.successor.reset();
+    }
+    if (!job.calls.empty() || job.released)
+        return;
+    ++m_statistics.jobsAbandoned;
+    release(now, job, out);
+    closeIfOver(now, key, out);
+    dispatch(now, out);
+}
+
+bool RunDispatcher::cancel(TimePoint now, JobKey key, DispatchOutbox &out)
+{
+    const auto position = m_jobs.find(key);
+    if (position == m_jobs.end())
+        return false;
+    KeyedJob &job = position->second;
+    if (!job.released) {
+        Answer answer;
+        answer.outcome = job.ordersSent == 0 ? Outcome::NotRun : Outcome::Failed;
+        answer.reason = job.ordersSent == 0 ? Reason::CancelledBeforeStart : Reason::Cancelled;
+        finish(now, job, answer, out);
+        closeIfOver(now, key, out);
+    }
+    return true;
+}
+
+void RunDispatcher::handle(TimePoint now, Incarnation entry, const ReleaseJob &message,
+                           DispatchOutbox &out)
+{
+    const auto position = m_jobs.find(message.job);
+    if (position == m_jobs.end()) {
+        out.messages.emplace_back(entry, JobReleased{message.number, false});
+        return;
+    }
+    position->second.releaseCallers.emplace_back(entry, message.number);
+    cancel(now, message.job, out);
+    closeIfOver(now, message.job, out);
+}
+
+void RunDispatcher::abandonAll(TimePoint now, DispatchOutbox &out)
+{
+    std::vector<JobKey> keys;
+    for (const auto &[key, job] : m_jobs) {
+        if (!job.released)
+            keys.push_back(key);
+    }
+    for (const JobKey key : keys) {
+        KeyedJob &job = m_jobs.at(key);
+        Answer answer;
+        answer.outcome = Outcome::Unknown;
+        answer.reason = Reason::HomeSilent;
+        finish(now, job, answer, out);
+        closeIfOver(now, key, out);
+    }
+}
+
+void RunDispatcher::agentUp(TimePoint now, const ProcessInfo &agent, DispatchOutbox &out)
+{
+    m_board.linkUp(agent);
+    const auto runs = m_runsAt.find(agent.incarnation);
+    RunsAtAgent question;
+    if (runs != m_runsAt.end())
+        question.runs.assign(runs->second.begin(), runs->second.end());
+    out.messages.emplace_back(agent.incarnation, std::move(question));
+    dispatch(now, out);
+}
+
+void RunDispatcher::agentDown(TimePoint now, Incarnation agent)
+{
+    m_board.linkDown(agent);
+    m_timers.schedule(now + m_settings.agentGoneAfter, Timer{TimerKind::AgentGone, {}, agent});
+}
+
+void RunDispatcher::handle(TimePoint now, Incarnation agent, const WorkerRoom &message,
+                           DispatchOutbox &out)
+{
+    const BoardEntry *entry = m_board.find(agent);
+    if (entry == nullptr || !m_board.report(agent, message))
+        return;
+    if (message.settled) {
+        // The worker beside this agent runs nothing that an earlier incarnation had started.
+        std::vector<Incarnation> replaced;
+        for (const auto &[incarnation, other] : m_board.entries()) {
+            if (incarnation != agent && !other.linked && other.agent.name == entry->agent.name)
+                replaced.push_back(incarnation);
+        }
+        for (const Incarnation incarnation : replaced)
+            agentGone(now, incarnation, out);
+    }
+    dispatch(now, out);
+}
+
+void RunDispatcher::handle(TimePoint now, Incarnation agent, const RunsEnded &message,
+                           DispatchOutbox &out)
+{
+    for (const EndedRun &ended : message.runs)
+        runEnded(now, ended, agent, out);
+    dispatch(now, out);
+}
+
+KeyedTask *RunDispatcher::findTask(const RunKey &run, Incarnation agent)
+{
+    const auto position = m_jobs.find(run.job);
+    if (position == m_jobs.end())
+        return nullptr;
+    auto &tasks = position->second.tasks;
+    if (run.step >= tasks.size() || run.index >= tasks[run.step].size())
+        return nullptr;
+    KeyedTask &task = tasks[run.step][run.index];
+    const bool current =
+        task.phase == TaskPhase::Ordered && task.run == run.run && task.agent == agent;
+    return current ? &task : nullptr;
+}
+
+void RunDispatcher::runEnded(TimePoint now, const EndedRun &ended, Incarnation agent,
+                             DispatchOutbox &out)
+{
+    if (m_runsAt[agent].erase(ended.run) == 0)
+        return;
+    KeyedTask *task = findTask(ended.run, agent);
+    if (task == nullptr)
+        return;
+    KeyedJob &job = m_jobs.at(ended.run.job);
+    const TaskRef ref{ended.run.job, ended.run.step, ended.run.index};
+    --job.openRuns;
+    switch (ended.end) {
+    case RunResult::Done: {
+        ++m_statistics.runsDone;
+        task->phase = TaskPhase::Done;
+        --job.tasksLeft;
+        const Duration declared = job.spec.steps[ref.step].declaredRunTime;
+        if (declared > Duration(0))
+            m_ratios.record(
+                job.rule.name, {},
+                Duration(ended.runTime.count() * DeclaredUnit.count() / declared.count()));
+        break;
+    }
+    case RunResult::Failed:
+        ++m_statistics.runsFailed;
+        ++task->failures;
+        task->avoided = agent;
+        retryTask(now, job, ref, Duration(0));
+        break;
+    case RunResult::Stopped:
+    case RunResult::Lost:
+        ++(ended.end == RunResult::Lost ? m_statistics.runsLost : m_statistics.runsStopped);
+        task->avoided = agent;
+        retryTask(now, job, ref, Duration(0));
+        break;
+    case RunResult::NotStarted:
+        ++m_statistics.ordersReturned;
+        task->avoided = agent;
+        retryTask(now, job, ref,
+                  FirstReturnDelay * (1U << std::min(task->returned, LongestReturnDelayShift)));
+        ++task->returned;
+        break;
+    }
+    if (!job.released && task->failures >= job.rule.maxAttempts) {
+        Answer answer;
+        answer.outcome = Outcome::Failed;
+        answer.reason = Reason::TaskFailed;
+        finish(now, job, answer, out);
+    } else if (!job.released && job.tasksLeft == 0) {
+        Answer answer;
+        answer.outcome = Outcome::Completed;
+        finish(now, job, answer, out);
+    } else if (!job.released) {
+        unblockSteps(now, job);
+    }
+    closeIfOver(now, ref.job, out);
+}
+
+void RunDispatcher::retryTask(TimePoint now, KeyedJob &job, const TaskRef &ref, Duration delay)
+{
+    KeyedTask &task = job.tasks[ref.step][ref.index];
+    if (job.released) {
+        task.phase = TaskPhase::Blocked;
+        return;
+    }
+    if (delay > Duration(0)) {
+        task.phase = TaskPhase::Delayed;
+        m_timers.schedule(now + delay, Timer{TimerKind::TaskReady, ref, {}});
+        return;
+    }
+    task.phase = TaskPhase::Ready;
+    makeReady(job, ref.step, ref.index);
+}
+
+void RunDispatcher::finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out)
+{
+    log(job, answer, now);
+    switch (answer.outcome) {
+    case Outcome::Completed:
+        ++m_statistics.jobsCompleted;
+        break;
+    case Outcome::Failed:
+        ++m_statistics.jobsFailed;
+        break;
+    case Outcome::NotRun:
+        ++m_statistics.jobsRefused;
+        break;
+    case Outcome::Unknown:
+        ++m_statistics.jobsExpired;
+        break;
+    }
+    for (const CallId call : job.calls) {
+        m_calls.erase(call);
+        out.answers.push_back({call, answer});
+    }
+    job.calls.clear();
+    release(now, job, out);
+}
+
+void RunDispatcher::release(TimePoint, KeyedJob &job, DispatchOutbox &out)
+{
+    job.released = true;
+    std::map<Incarnation, StopRuns> stops;
+    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+            const KeyedTask &task = job.tasks[step][index];
+            const TaskRef ref{job.spec.key, step, index};
+            if (task.phase == TaskPhase::Ready)
+                m_ready.erase({job.objective, ref});
+            if (task.phase == TaskPhase::Ordered)
+                stops[task.agent].runs.push_back({ref.job, step, index, task.run});
+        }
+    }
+    for (auto &[agent, message] : stops)
+        out.messages.emplace_back(agent, std::move(message));
+}
+
+void RunDispatcher::closeIfOver(TimePoint now, JobKey key, DispatchOutbox &out)
+{
+    const auto position = m_jobs.find(key);
+    if (position == m_jobs.end())
+        return;
+    KeyedJob &job = position->second;
+    if (!job.released || job.openRuns > 0)
+        return;
+    for (const auto &[entry, number] : job.releaseCallers)
+        out.messages.emplace_back(entry, JobReleased{number, true});
+    std::optional<KeyedJob::Successor> next = std::move(job.successor);
+    std::uint64_t highest = job.lastRun.value();
+    for (const auto &step : job.tasks) {
+        for (const KeyedTask &task : step)
+            highest = std::max(highest, task.run.value());
+    }
+    m_jobs.erase(position);
+    if (!next)
+        return;
+    KeyedJob successor;
+    successor.spec = std::move(next->spec);
+    successor.rule = std::move(next->rule);
+    successor.calls = std::move(next->calls);
+    successor.arrived = next->arrived;
+    successor.deadline = next->deadline;
+    successor.lastRun = RunNumber(highest);
+    open(now, std::move(successor), out);
+}
+
+void RunDispatcher::advance(TimePoint now, DispatchOutbox &out)
+{
+    while (const std::optional<Timer> timer = m_timers.popDue(now)) {
+        if (timer->kind == TimerKind::AgentGone) {
+            const BoardEntry *entry = m_board.find(timer->agent);
+            if (entry != nullptr && !entry->linked)
+                agentGone(now, timer->agent, out);
+            continue;
+        }
+        const auto position = m_jobs.find(timer->task.job);
+        if (position == m_jobs.end() || position->second.released)
+            continue;
+        KeyedJob &job = position->second;
+        if (timer->kind == TimerKind::TaskReady) {
+            KeyedTask &task = job.tasks[timer->task.step][timer->task.index];
+            if (task.phase == TaskPhase::Delayed) {
+                task.phase = TaskPhase::Ready;
+                makeReady(job, timer->task.step, timer->task.index);
+            }
+        } else if (timer->kind == TimerKind::Hopeless) {
+            if (job.ordersSent > 0)
+                continue;
+            finish(now, job, refusal(now, job, Reason::Overload), out);
+            closeIfOver(now, timer->task.job, out);
+        } else if (now >= job.deadline) {
+            Answer answer;
+            answer.outcome = job.ordersSent == 0 ? Outcome::NotRun : Outcome::Unknown;
+            answer.reason =
+                job.ordersSent == 0 ? Reason::DeadlineBeforeStart : Reason::DeadlineExceeded;
+            finish(now, job, answer, out);
+            closeIfOver(now, timer->task.job, out);
+        }
+    }
+    dispatch(now, out);
+}
+
+void RunDispatcher::agentGone(TimePoint now, Incarnation agent, DispatchOutbox &out)
+{
+    m_board.forget(agent);
+    const auto runs = m_runsAt.find(agent);
+    if (runs == m_runsAt.end())
+        return;
+    const std::set<RunKey> lost = runs->second;
+    for (const RunKey &run : lost)
+        runEnded(now, EndedRun{run, RunResult::Lost, Duration(0)}, agent, out);
+    m_runsAt.erase(agent);
+}
+
+Answer RunDispatcher::refusal(TimePoint, const KeyedJob &job, Reason reason) const
+{
+    Answer answer;
+    answer.outcome = Outcome::NotRun;
+    answer.reason = reason;
+    // Time in which the workers would do what waits here.
+    double waitingWork = 0;
+    for (const auto &[rank, ref] : m_ready) {
+        const KeyedJob &waiting = m_jobs.at(ref.job);
+        waitingWork += static_cast<double>(waiting.spec.steps[ref.step].need.milliProcessors)
+            * static_cast<double>(expectedRunTime(waiting, ref.step).count());
+    }
+    const double capacity =
+        std::max<double>(1, static_cast<double>(m_board.totalMilliProcessors(job.rule.service)));
+    const Duration wait(static_cast<Duration::rep>(waitingWork / capacity));
+    answer.retryAfter = std::clamp(wait, ShortestRetryAfter, LongestRetryAfter);
+    return answer;
+}
+
+std::size_t RunDispatcher::pending(const std::string &queue) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &item) {
+            const KeyedJob &job = item.second;
+            return !job.released && job.ordersSent == 0 && job.rule.name == queue;
+        }));
+}
+
+bool RunDispatcher::anyWorker() const
+{
+    return std::any_of(m_board.entries().begin(), m_board.entries().end(),
+                       [](const auto &item) { return item.second.linked && item.second.room; });
+}
+
+void RunDispatcher::log(const KeyedJob &job, const Answer &answer, TimePoint now) const
+{
+    if (answer.outcome == Outcome::Completed)
+        return;
+    LogEvent event(LogLevel::Info, "job_ended");
+    event.field("job", keyText(job.spec.key))
+        .field("queue", job.rule.name)
+        .field("outcome", toString(answer.outcome))
+        .field("reason", toString(answer.reason))
+        .field("age_ms", (now - job.arrived).count() / 1000)
+        .field("tasks", taskCount(job.spec))
+        .field("tasks_left", job.tasksLeft)
+        .field("orders", job.ordersSent)
+        .field("waiting_tasks", m_ready.size())
+        .field("agents", m_board.entries().size());
+    if (answer.retryAfter)
+        event.field("retry_after_ms", answer.retryAfter->count() / 1000);
+}
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/runledger.cpp
@@ -0,0 +1,490 @@
+#include "core/runledger.h"
+
+#include <algorithm>
+
+namespace Bluebellquay {
+
+namespace {
+
+// Time between two tries of a stop that got no answer.
+constexpr Duration StopRetryDelay{40'000};
+// An order that is neither answered nor listed after this time is treated as lost.
+constexpr Duration OrderSettlesWithin{1'000'000};
+// Waiting orders behind the first that are tried when the first does not fit.
+constexpr int LookAhead = 8;
+
+template <typename Number>
+Number without(Number whole, Number part)
+{
+    return whole > part ? whole - part : 0;
+}
+
+ResourceNeed difference(const ResourceNeed &whole, const ResourceNeed &part)
+{
+    return {without(whole.milliProcessors, part.milliProcessors),
+            without(whole.memoryBytes, part.memoryBytes),
+            without(whole.accelerators, part.accelerators)};
+}
+
+bool within(const ResourceNeed &need, const ResourceNeed &room)
+{
+    return need.milliProcessors <= room.milliProcessors && need.memoryBytes <= room.memoryBytes
+        && need.accelerators <= room.accelerators;
+}
+
+} // namespace
+
+RunLedger::RunLedger(RunLedgerSettings settings)
+    : m_settings(settings)
+{ }
+
+void RunLedger::workerAnnounced(TimePoint now, const WorkerProfile &profile, RunOutbox &out)
+{
+    if (m_worker && !(m_worker->identity == profile.identity)) {
+        endAll(now, out);
+        m_accounted = false;
+        m_watch = WorkerWatch();
+    }
+    const bool news = !m_worker || !(m_worker->identity == profile.identity)
+        || m_worker->draining != profile.draining || !(m_worker->room == profile.room);
+    m_worker = profile;
+    if (!news)
+        return;
+    if (profile.draining)
+        returnWaiting(now, out);
+    startWaiting(now, out);
+    reportRooms(now, out);
+}
+
+void RunLedger::workerLeft(TimePoint now, RunOutbox &out)
+{
+    if (!m_worker)
+        return;
+    endAll(now, out);
+    m_worker.reset();
+    m_accounted = false;
+    reportRooms(now, out);
+}
+
+void RunLedger::leaseExpired(TimePoint now, RunOutbox &out)
+{
+    endAll(now, out);
+    m_accounted = false;
+    reportRooms(now, out);
+}
+
+void RunLedger::accountReceived(TimePoint now, const WorkerAccount &account, RunOutbox &out)
+{
+    if (!m_worker || !(account.worker == m_worker->identity))
+        return;
+    const bool first = !m_accounted;
+    m_accounted = true;
+    for (const ListedEnd &listed : account.ended) {
+        const auto position = m_runs.find(listed.run);
+        if (position != m_runs.end() && position->second.state != RunState::Waiting)
+            end(now, position, listed.end, out);
+    }
+    const std::set<RunKey> running(account.running.begin(), account.running.end());
+    for (const RunKey &key : running) {
+        const auto position = m_runs.find(key);
+        if (position == m_runs.end())
+            adoptForeign(now, key, out);
+        else if (position->second.state == RunState::Ordered)
+            position->second.state = RunState::Running;
+    }
+    for (auto position = m_runs.begin(); position != m_runs.end();) {
+        const auto current = position++;
+        Run &run = current->second;
+        if (running.contains(current->first))
+            continue;
+        if (run.state == RunState::Ordered && account.askedAt > run.started + OrderSettlesWithin)
+            requestStop(now, current->first, run, out);
+        // An account that was asked for after the stop had time to take effect proves the end.
+        const bool stopped =
+            run.stopConfirmed && account.askedAt >= *run.stopConfirmed + m_settings.stopDuration;
+        // A confirmed run that is neither running nor listed as ended was forgotten by the worker.
+        const bool forgotten = run.state == RunState::Running && account.askedAt > run.started;
+        if (stopped)
+            end(now, current,
+                run.home == Incarnation() ? RunResult::Stopped : RunResult::NotStarted, out);
+        else if (forgotten && account.unreadable == 0)
+            end(now, current, RunResult::Lost, out);
+    }
+    startWaiting(now, out);
+    if (first || !account.ended.empty())
+        reportRooms(now, out);
+}
+
+void RunLedger::startAnswered(TimePoint now, const RunKey &key, StartAnswer answer, RunOutbox &out)
+{
+    const auto position = m_runs.find(key);
+    if (position == m_runs.end() || position->second.state == RunState::Waiting)
+        return;
+    Run &run = position->second;
+    switch (answer) {
+    case StartAnswer::Accepted:
+        if (run.state == RunState::Ordered) {
+            run.state = RunState::Running;
+            run.started = now;
+        }
+        return;
+    case StartAnswer::NoAnswer:
+        ++m_statistics.startsUnanswered;
+        if (run.state == RunState::Ordered)
+            requestStop(now, key, run, out);
+        return;
+    case StartAnswer::Unhealthy:
+        ++m_statistics.suspensions;
+        m_watch.suspend(now);
+        scheduleCheck(*m_watch.probeAt());
+        break;
+    case StartAnswer::Refused:
+    case StartAnswer::NotSent:
+        break;
+    }
+    end(now, position, RunResult::NotStarted, out);
+    startWaiting(now, out);
+    reportRooms(now, out);
+}
+
+void RunLedger::stopAnswered(TimePoint now, const RunKey &key, bool answered, RunOutbox &)
+{
+    const auto position = m_runs.find(key);
+    if (position == m_runs.end() || position->second.state != RunState::Stopping)
+        return;
+    if (answered)
+        position->second.stopConfirmed = now;
+    else
+        m_timers.schedule(now + StopRetryDelay, Timer{TimerKind::RepeatStop, key});
+}
+
+void RunLedger::homeUp(Incarnation home)
+{
+    m_homes.try_emplace(home);
+}
+
+void RunLedger::handle(TimePoint now, Incarnation home, const StartRuns &message, RunOutbox &out)
+{
+    for (const RunOrder &order : message.orders) {
+        OrderNumber &last = m_homes[home];
+        last = std::max(last, order.order);
+        const RunKey key{message.job, message.step, order.index, order.run};
+        if (const auto kept = m_endsKept.find(key); kept != m_endsKept.end()) {
+            out.messages.emplace_back(home, RunsEnded{{kept->second.end}});
+            continue;
+        }
+        if (m_runs.contains(key))
+            continue;
+        ++m_statistics.ordersReceived;
+        Run run;
+        run.home = home;
+        run.need = message.need;
+        run.expected = order.expectedRunTime;
+        run.rank = now + message.timeLeft;
+        run.received = now;
+        run.payload = message.payload;
+        m_waiting.emplace(run.rank, key);
+        m_waitingMilliProcessors += run.need.milliProcessors;
+        m_runs.emplace(key, std::move(run));
+        scheduleCheck(now + m_settings.longestWait);
+    }
+    startWaiting(now, out);
+    if (!accepting(now))
+        returnWaiting(now, out);
+    reportRooms(now, out);
+}
+
+void RunLedger::handle(TimePoint now, Incarnation, const StopRuns &message, RunOutbox &out)
+{
+    for (const RunKey &key : message.runs) {
+        const auto position = m_runs.find(key);
+        if (position == m_runs.end())
+            continue;
+        if (position->second.state == RunState::Waiting)
+            end(now, position, RunResult::NotStarted, out);
+        else
+            requestStop(now, key, position->second, out);
+    }
+    startWaiting(now, out);
+    reportRooms(now, out);
+}
+
+void RunLedger::handle(TimePoint now, Incarnation home, const RunsAtAgent &message, RunOutbox &out)
+{
+    RunsEnded ended;
+    for (const RunKey &key : message.runs) {
+        if (m_runs.contains(key))
+            continue;
+        const auto kept = m_endsKept.find(key);
+        // The order was lost with the previous link, so it can't arrive any more.
+        ended.runs.push_back(kept != m_endsKept.end()
+                                 ? kept->second.end
+                                 : EndedRun{key, RunResult::NotStarted, Duration(0)});
+    }
+    if (!ended.runs.empty())
+        out.messages.emplace_back(home, std::move(ended));
+    out.messages.emplace_back(home, describeRoom(now));
+}
+
+void RunLedger::homeSilent(TimePoint now, Incarnation home, RunOutbox &out)
+{
+    m_homes.erase(home);
+    for (auto position = m_runs.begin(); position != m_runs.end();) {
+        const auto current = position++;
+        if (current->second.home != home)
+            continue;
+        if (current->second.state == RunState::Waiting)
+            end(now, current, RunResult::NotStarted, out);
+        else
+            requestStop(now, current->first, current->second, out);
+    }
+    startWaiting(now, out);
+    reportRooms(now, out);
+}
+
+void RunLedger::beginStop(TimePoint now, RunOutbox &out)
+{
+    m_stopping = true;
+    returnWaiting(now, out);
+    reportRooms(now, out);
+}
+
+void RunLedger::advance(TimePoint now, RunOutbox &out)
+{
+    bool check = false;
+    while (const std::optional<Timer> timer = m_timers.popDue(now)) {
+        switch (timer->kind) {
+        case TimerKind::Check:
+            check = true;
+            break;
+        case TimerKind::ForgetEnd:
+            m_endsKept.erase(timer->run);
+            break;
+        case TimerKind::RepeatStop: {
+            const auto position = m_runs.find(timer->run);
+            if (position != m_runs.end() && !position->second.stopConfirmed)
+                out.stops.push_back({timer->run});
+            break;
+        }
+        }
+    }
+    if (!check)
+        return;
+    checkStandstill(now, out);
+    for (auto position = m_waiting.begin(); position != m_waiting.end();) {
+        const auto run = m_runs.find((position++)->second);
+        if (now >= run->second.received + m_settings.longestWait)
+            end(now, run, RunResult::NotStarted, out);
+    }
+    startWaiting(now, out);
+    reportRooms(now, out);
+}
+
+bool RunLedger::accepting(TimePoint now) const
+{
+    return m_worker && m_accounted && m_foreignRuns == 0 && !m_worker->draining && !m_stopping
+        && !m_watch.suspended(now);
+}
+
+ResourceNeed RunLedger::freeRoom() const
+{
+    if (!m_worker)
+        return {};
+    ResourceNeed free = difference(m_worker->room, m_held);
+    free.milliProcessors = static_cast<std::uint32_t>(
+        without<std::uint64_t>(free.milliProcessors, m_waitingMilliProcessors));
+    return free;
+}
+
+bool RunLedger::fits(const ResourceNeed &need) const
+{
+    return within(need, difference(m_worker->room, m_held));
+}
+
+void RunLedger::hold(const ResourceNeed &need)
+{
+    m_held.milliProcessors += need.milliProcessors;
+    m_held.memoryBytes += need.memoryBytes;
+    m_held.accelerators += need.accelerators;
+}
+
+void RunLedger::release(const ResourceNeed &need)
+{
+    m_held = difference(m_held, need);
+}
+
+void RunLedger::startWaiting(TimePoint now, RunOutbox &out)
+{
+    if (!accepting(now))
+        return;
+    int looked = 0;
+    for (auto position = m_waiting.begin(); position != m_waiting.end() && looked < LookAhead;) {
+        const auto run = m_runs.find((position++)->second);
+        if (!fits(run->second.need)) {
+            ++looked;
+            continue;
+        }
+        start(now, run, out);
+        if (m_watch.onProbation()) {
+            m_watch.probeStarted();
+            return returnWaiting(now, out);
+        }
+    }
+}
+
+void RunLedger::start(TimePoint now, Runs::iterator position, RunOutbox &out)
+{
+    Run &run = position->second;
+    m_waiting.erase({run.rank, position->first});
+    m_waitingMilliProcessors -= run.need.milliProcessors;
+    hold(run.need);
+    run.state = RunState::Ordered;
+    run.started = now;
+    ++m_statistics.started;
+    out.starts.push_back({position->first, std::move(run.payload)});
+    scheduleCheck(WorkerWatch::overdueAt(now, run.expected));
+}
+
+void RunLedger::requestStop(TimePoint, const RunKey &key, Run &run, RunOutbox &out)
+{
+    if (run.state == RunState::Stopping)
+        return;
+    run.state = RunState::Stopping;
+    out.stops.push_back({key});
+}
+
+void RunLedger::end(TimePoint now, Runs::iterator position, RunResult how, RunOutbox &out)
+{
+    const RunKey key = position->first;
+    const Run run = std::move(position->second);
+    m_runs.erase(position);
+    EndedRun ended{key, how, Duration(0)};
+    if (run.state == RunState::Waiting) {
+        m_waiting.erase({run.rank, key});
+        m_waitingMilliProcessors -= run.need.milliProcessors;
+        ++m_statistics.ordersReturned;
+    } else if (run.home == Incarnation()) {
+        --m_foreignRuns;
+        return;
+    } else {
+        release(run.need);
+        ended.runTime = std::max(now - run.started, Duration(0));
+        const bool suspendedBefore = m_watch.onProbation();
+        m_watch.ended(now, key.job, how, ended.runTime, run.expected);
+        if (suspendedBefore && how != RunResult::Done && how != RunResult::Failed)
+            m_watch.probeAbandoned();
+        if (how == RunResult::Failed && m_watch.onProbation()) {
+            ++m_statistics.suspensions;
+            scheduleCheck(*m_watch.probeAt());
+            returnWaiting(now, out);
+        }
+        switch (how) {
+        case RunResult::Done:
+            ++m_statistics.done;
+            break;
+        case RunResult::Failed:
+            ++m_statistics.failed;
+            break;
+        case RunResult::Stopped:
+            ++m_statistics.stopped;
+            break;
+        case RunResult::Lost:
+            ++m_statistics.lost;
+            break;
+        case RunResult::NotStarted:
+            break;
+        }
+    }
+    m_endsKept[key] = KeptEnd{run.home, ended};
+    m_timers.schedule(now + m_settings.keepEnds, Timer{TimerKind::ForgetEnd, key});
+    out.messages.emplace_back(run.home, RunsEnded{{ended}});
+}
+
+void RunLedger::endAll(TimePoint now, RunOutbox &out)
+{
+    while (!m_runs.empty()) {
+        const auto position = m_runs.begin();
+        const bool waiting = position->second.state == RunState::Waiting;
+        end(now, position, waiting ? RunResult::NotStarted : RunResult::Lost, out);
+    }
+}
+
+void RunLedger::returnWaiting(TimePoint now, RunOutbox &out)
+{
+    while (!m_waiting.empty())
+        end(now, m_runs.find(m_waiting.begin()->second), RunResult::NotStarted, out);
+}
+
+void RunLedger::checkStandstill(TimePoint now, RunOutbox &out)
+{
+    // Runs that were overdue when another one ended are slow, not at a standstill.
+    std::vector<Runs::iterator> overdue;
+    bool sinceLastEnd = true;
+    for (auto position = m_runs.begin(); position != m_runs.end(); ++position) {
+        const Run &run = position->second;
+        if (run.state != RunState::Running)
+            continue;
+        const TimePoint due = WorkerWatch::overdueAt(run.started, run.expected);
+        if (now < due)
+            continue;
+        overdue.push_back(position);
+        sinceLastEnd = sinceLastEnd && m_watch.lastEnd() < due;
+    }
+    if (!sinceLastEnd || overdue.size() < WorkerWatch::OverdueRuns)
+        return;
+    ++m_statistics.standstills;
+    m_watch.suspend(now);
+    scheduleCheck(*m_watch.probeAt());
+    for (const auto &position : overdue)
+        requestStop(now, position->first, position->second, out);
+    returnWaiting(now, out);
+}
+
+void RunLedger::adoptForeign(TimePoint now, const RunKey &key, RunOutbox &out)
+{
+    // A run that this incarnation has seen the end of may still be listed by an older account.
+    if (m_endsKept.contains(key))
+        return;
+    Run run;
+    run.state = RunState::Running;
+    run.started = now;
+    const auto [position, inserted] = m_runs.emplace(key, std::move(run));
+    if (!inserted)
+        return;
+    ++m_foreignRuns;
+    requestStop(now, key, position->second, out);
+}
+
+void RunLedger::reportRooms(TimePoint now, RunOutbox &out)
+{
+    ++m_reportSequence;
+    const WorkerRoom room = describeRoom(now);
+    for (const auto &[home, order] : m_homes) {
+        WorkerRoom report = room;
+        report.lastOrder = order;
+        out.messages.emplace_back(home, std::move(report));
+    }
+}
+
+WorkerRoom RunLedger::describeRoom(TimePoint now) const
+{
+    WorkerRoom room;
+    room.sequence = m_reportSequence;
+    room.accepting = accepting(now);
+    room.settled = m_accounted && m_foreignRuns == 0;
+    if (!m_worker)
+        return room;
+    room.service = m_worker->service;
+    room.labels = m_worker->labels;
+    room.total = m_worker->room;
+    room.free = freeRoom();
+    room.probation = m_watch.onProbation();
+    const std::uint64_t held = m_held.milliProcessors;
+    const std::uint64_t wanted = held + m_waitingMilliProcessors;
+    room.overcommittedMilliProcessors =
+        static_cast<std::uint32_t>(without<std::uint64_t>(wanted, room.total.milliProcessors));
+    room.slowdownPermille = static_cast<std::uint32_t>(m_watch.slowdown() * 1000);
+    return room;
+}
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/workerboard.cpp
@@ -0,0 +1,97 @@
+#include "core/workerboard.h"
+
+#include <algorithm>
+
+namespace Bluebellquay {
+
+bool BoardEntry::fits(const ResourceNeed &need) const
+{
+    // One run decides about a worker on probation, so no second one is sent.
+    if (room->probation && !pending.empty())
+        return false;
+    return freeMilliProcessors() >= static_cast<std::int64_t>(need.milliProcessors)
+        && room->free.memoryBytes >= pendingNeed.memoryBytes + need.memoryBytes
+        && room->free.accelerators >= pendingNeed.accelerators + need.accelerators;
+}
+
+std::int64_t BoardEntry::overcommitted() const
+{
+    const std::int64_t reported = room->overcommittedMilliProcessors;
+    return reported + std::max<std::int64_t>(0, -freeMilliProcessors());
+}
+
+void WorkerBoard::linkUp(const ProcessInfo &agent)
+{
+    BoardEntry &entry = m_entries[agent.incarnation];
+    entry.agent = agent;
+    entry.linked = true;
+    entry.room.reset();
+    entry.pending.clear();
+    entry.pendingNeed = ResourceNeed();
+}
+
+void WorkerBoard::linkDown(Incarnation agent)
+{
+    const auto position = m_entries.find(agent);
+    if (position != m_entries.end())
+        position->second.linked = false;
+}
+
+bool WorkerBoard::report(Incarnation agent, const WorkerRoom &room)
+{
+    const auto position = m_entries.find(agent);
+    if (position == m_entries.end())
+        return false;
+    BoardEntry &entry = position->second;
+    if (entry.room && entry.room->sequence > room.sequence)
+        return false;
+    entry.room = room;
+    while (!entry.pending.empty() && entry.pending.front().order <= room.lastOrder) {
+        const ResourceNeed &need = entry.pending.front().need;
+        entry.pendingNeed.milliProcessors -= need.milliProcessors;
+        entry.pendingNeed.memoryBytes -= need.memoryBytes;
+        entry.pendingNeed.accelerators -= need.accelerators;
+        entry.pending.pop_front();
+    }
+    return true;
+}
+
+OrderNumber WorkerBoard::book(Incarnation agent, const ResourceNeed &need)
+{
+    BoardEntry &entry = m_entries.at(agent);
+    entry.lastOrder = entry.lastOrder.next();
+    entry.pending.push_back({entry.lastOrder, need});
+    entry.pendingNeed.milliProcessors += need.milliProcessors;
+    entry.pendingNeed.memoryBytes += need.memoryBytes;
+    entry.pendingNeed.accelerators += need.accelerators;
+    return entry.lastOrder;
+}
+
+const BoardEntry *WorkerBoard::find(Incarnation agent) const
+{
+    const auto position = m_entries.find(agent);
+    return position == m_entries.end() ? nullptr : &position->second;
+}
+
+bool WorkerBoard::anyCouldHold(const std::string &service, const ResourceNeed &need) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
+        const BoardEntry &entry = item.second;
+        return entry.room && entry.room->service == service
+            && need.milliProcessors <= entry.room->total.milliProcessors
+            && need.memoryBytes <= entry.room->total.memoryBytes
+            && need.accelerators <= entry.room->total.accelerators;
+    });
+}
+
+std::uint64_t WorkerBoard::totalMilliProcessors(const std::string &service) const
+{
+    std::uint64_t total = 0;
+    for (const auto &[incarnation, entry] : m_entries) {
+        if (entry.usable(service))
+            total += entry.room->total.milliProcessors;
+    }
+    return total;
+}
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/workerboard.h
@@ -0,0 +1,79 @@
+// What a home knows of the agents and the room on their workers: their reports, corrected by the
+// orders that the latest report does not include yet.
+#pragma once
+
+#include "base/messages.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Bluebellquay {
+
+// One agent as the home sees it.
+struct BoardEntry
+{
+    struct PendingOrder
+    {
+        OrderNumber order;
+        ResourceNeed need;
+    };
+
+    ProcessInfo agent;
+    bool linked = false;
+    std::optional<WorkerRoom> room;
+    OrderNumber lastOrder;
+    // Orders that the latest report does not include, ascending.
+    std::deque<PendingOrder> pending;
+    // Sum over pending.
+    ResourceNeed pendingNeed;
+
+    std::int64_t freeMilliProcessors() const
+    {
+        return static_cast<std::int64_t>(room->free.milliProcessors)
+            - static_cast<std::int64_t>(pendingNeed.milliProcessors);
+    }
+    bool usable(const std::string &service) const
+    {
+        return linked && room && room->accepting && room->service == service;
+    }
+    bool fits(const ResourceNeed &need) const;
+    // Processors ordered beyond the room of the worker.
+    std::int64_t overcommitted() const;
+    // Time that this worker takes for a run of this expected time.
+    Duration predicted(Duration expected) const
+    {
+        return expected * room->slowdownPermille / OrdinaryPermille;
+    }
+
+    static constexpr int OrdinaryPermille = 1000;
+};
+
+class WorkerBoard
+{
+public:
+    using Entries = std::map<Incarnation, BoardEntry>;
+
+    void linkUp(const ProcessInfo &agent);
+    void linkDown(Incarnation agent);
+    void forget(Incarnation agent) { m_entries.erase(agent); }
+    // Returns false if the report is older than the one at hand.
+    bool report(Incarnation agent, const WorkerRoom &room);
+    // Books an order and returns its number.
+    OrderNumber book(Incarnation agent, const ResourceNeed &need);
+
+    const BoardEntry *find(Incarnation agent) const;
+    const Entries &entries() const { return m_entries; }
+    // Whether a worker of the service could hold such a task if it were empty.
+    bool anyCouldHold(const std::string &service, const ResourceNeed &need) const;
+    // Processors of all linked workers of the service that take orders.
+    std::uint64_t totalMilliProcessors(const std::string &service) const;
+
+private:
+    Entries m_entries;
+};
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/workercalls.h
@@ -0,0 +1,79 @@
+// Calls to the worker beside an agent and what comes back, in the project's terms. The adapter of
+// the platform in use carries them out (platform/).
+#pragma once
+
+#include "base/coretime.h"
+#include "base/runmessages.h"
+#include "base/submissionid.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Bluebellquay {
+
+// One life of a worker. A worker that starts again is another one, even under the same name.
+struct WorkerIdentity
+{
+    std::string name;
+    // Unix milliseconds of its start, by its own clock.
+    std::uint64_t startedAt = 0;
+
+    friend bool operator==(const WorkerIdentity &, const WorkerIdentity &) = default;
+};
+
+// What a worker announces of itself.
+struct WorkerProfile
+{
+    WorkerIdentity identity;
+    // host:port at which it takes calls.
+    std::string address;
+    std::string service;
+    std::vector<std::string> labels;
+    // Whole room, not what is left of it.
+    ResourceNeed room;
+    bool draining = false;
+};
+
+// Start this run. The answer is reported by RunLedger::startAnswered().
+struct WorkerStart
+{
+    RunKey run;
+    std::string payload;
+};
+
+// Stop this run, or refuse it if it arrives later. Answered by RunLedger::stopAnswered().
+struct WorkerStop
+{
+    RunKey run;
+};
+
+enum class StartAnswer : std::uint8_t {
+    Accepted,
+    Refused,   // the worker says that it has not started the run
+    Unhealthy, // as Refused, and the worker says that it is not well
+    NotSent,   // no connection: the worker can't have seen the order
+    NoAnswer,  // it may have been carried out, or may be later
+};
+
+// How a run ended, as the worker lists it.
+struct ListedEnd
+{
+    RunKey run;
+    RunResult end = RunResult::Done;
+};
+
+// A worker's account of what runs and what has ended.
+struct WorkerAccount
+{
+    WorkerIdentity worker;
+    // When the question was sent: what was ordered later may be missing.
+    TimePoint askedAt;
+    std::vector<RunKey> running;
+    std::vector<ListedEnd> ended;
+    // Runs in the lists whose names could not be read.
+    std::uint32_t unreadable = 0;
+};
+
+} // namespace Bluebellquay
--- a/source/daemons/daemonmain.h
+++ b/source/daemons/daemonmain.h
@@ -45,7 +45,8 @@
             return 0;
         },
         [](const Findings &findings) {
-            std::cerr << toString(findings);
+            for (const Finding &finding : findings)
+                std::cerr << toString({finding}) << '\n';
             return ExitUsage;
         },
         [](const ListenError &error) {
--- /dev/null
+++ b/source/net/httpclient.cpp
@@ -0,0 +1,237 @@
+#include "net/httpclient.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <optional>
+#include <sstream>
+#include <unordered_set>
+
+namespace Bluebellquay {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+constexpr unsigned HttpVersion11 = 11;
+constexpr std::size_t MaxReplyBytes = 8UL << 20;
+// A connection on which nothing comes back is noticed after about three seconds, also while a long
+// poll waits.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+constexpr int UnacknowledgedTimeoutMs = 3'000;
+
+void setOption(Tcp::socket &socket, int level, int name, int value)
+{
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+void detectSilence(Tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedTimeoutMs);
+}
+
+} // namespace
+
+struct HttpClient::State
+{
+    State(asio::io_context &io, TimerService &timerService, Tcp::endpoint address)
+        : context(io)
+        , timers(timerService)
+        , server(std::move(address))
+    {
+        std::ostringstream text;
+        text << server;
+        host = text.str();
+    }
+
+    asio::io_context &context;
+    TimerService &timers;
+    const Tcp::endpoint server;
+    std::string host;
+    std::vector<std::shared_ptr<Connection>> idle;
+    std::unordered_set<std::shared_ptr<Connection>> busy;
+    bool closed = false;
+};
+
+class HttpClient::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    explicit Connection(std::shared_ptr<State> state)
+        : m_state(std::move(state))
+        , m_socket(m_state->context)
+    { }
+
+    void start(HttpCall call, Callback callback);
+    void abandon();
+
+private:
+    void connect();
+    void send();
+    void receive();
+    void finish(HttpReply reply, bool reusable);
+
+    std::shared_ptr<State> m_state;
+    Tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    Callback m_callback;
+    TimerSubscription m_timeout;
+    bool m_connected = false;
+    // Something of the present call may have reached the server.
+    bool m_sent = false;
+    // Tells handlers of an earlier call from those of the present one.
+    std::uint64_t m_generation = 0;
+};
+
+void HttpClient::Connection::start(HttpCall call, Callback callback)
+{
+    ++m_generation;
+    m_callback = std::move(callback);
+    m_sent = false;
+    m_request = {};
+    m_request.version(HttpVersion11);
+    m_request.method_string(call.method);
+    m_request.target(call.target);
+    m_request.set(http::field::host, m_state->host);
+    for (const auto &[name, value] : call.headers)
+        m_request.set(name, value);
+    if (!call.body.empty())
+        m_request.set(http::field::content_type, "application/json");
+    m_request.body() = std::move(call.body);
+    m_request.keep_alive(true);
+    m_request.prepare_payload();
+    m_timeout = m_state->timers.at(m_state->timers.now() + call.timeout, [this](TimePoint) {
+        const auto self = shared_from_this();
+        finish({m_sent ? HttpCallEnd::NoAnswer : HttpCallEnd::NotSent, 0, {}}, false);
+    });
+    if (m_connected)
+        send();
+    else
+        connect();
+}
+
+void HttpClient::Connection::connect()
+{
+    m_socket.async_connect(m_state->server,
+                           [self = shared_from_this(),
+                            generation = m_generation](const boost::system::error_code &error) {
+                               if (generation != self->m_generation || !self->m_callback)
+                                   return;
+                               if (error)
+                                   return self->finish({HttpCallEnd::NotSent, 0, {}}, false);
+                               self->m_connected = true;
+                               detectSilence(self->m_socket);
+                               self->send();
+                           });
+}
+
+void HttpClient::Connection::send()
+{
+    m_sent = true;
+    http::async_write(m_socket, m_request,
+                      [self = shared_from_this(), generation = m_generation](
+                          const boost::system::error_code &error, std::size_t) {
+                          if (generation != self->m_generation || !self->m_callback)
+                              return;
+                          if (error)
+                              return self->finish({HttpCallEnd::NoAnswer, 0, {}}, false);
+                          self->receive();
+                      });
+}
+
+void HttpClient::Connection::receive()
+{
+    m_parser.emplace();
+    m_parser->body_limit(MaxReplyBytes);
+    http::async_read(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this(),
+         generation = m_generation](const boost::system::error_code &error, std::size_t) {
+            if (generation != self->m_generation || !self->m_callback)
+                return;
+            if (error)
+                return self->finish({HttpCallEnd::NoAnswer, 0, {}}, false);
+            http::response<http::string_body> message = self->m_parser->release();
+            HttpReply reply{HttpCallEnd::Answered, message.result_int(), std::move(message.body())};
+            self->finish(std::move(reply), message.keep_alive());
+        });
+}
+
+void HttpClient::Connection::finish(HttpReply reply, bool reusable)
+{
+    const auto self = shared_from_this();
+    const Callback callback = std::exchange(m_callback, nullptr);
+    m_timeout.cancel();
+    m_state->busy.erase(self);
+    if (reusable && !m_state->closed) {
+        m_state->idle.push_back(self);
+    } else {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+    if (callback && !m_state->closed)
+        callback(std::move(reply));
+}
+
+void HttpClient::Connection::abandon()
+{
+    m_callback = nullptr;
+    m_timeout.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+HttpClient::HttpClient(asio::io_context &context, TimerService &timers, Tcp::endpoint server)
+    : m_state(std::make_shared<State>(context, timers, std::move(server)))
+{ }
+
+HttpClient::~HttpClient()
+{
+    m_state->closed = true;
+    for (const auto &connection : std::exchange(m_state->busy, {}))
+        connection->abandon();
+    m_state->idle.clear();
+}
+
+void HttpClient::call(HttpCall call, Callback callback)
+{
+    std::shared_ptr<Connection> connection;
+    if (!m_state->idle.empty()) {
+        connection = std::move(m_state->idle.back());
+        m_state->idle.pop_back();
+    } else {
+        connection = std::make_shared<Connection>(m_state);
+    }
+    m_state->busy.insert(connection);
+    connection->start(std::move(call), std::move(callback));
+}
+
+const Tcp::endpoint &HttpClient::server() const
+{
+    return m_state->server;
+}
+
+void HttpClient::dropIdle()
+{
+    m_state->idle.clear();
+}
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/net/httpserver.cpp
@@ -0,0 +1,369 @@
+#include "net/httpserver.h"
+
+#include "kernel/log.h"
+#include "net/connectserver.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sstream>
+#include <unordered_set>
+#include <utility>
+
+namespace Bluebellquay {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+constexpr unsigned HttpVersion11 = 11;
+constexpr Duration SweepInterval{500'000};
+// Delay after an accept that failed, for example because no file descriptor is left.
+constexpr Duration AcceptRetryDelay{50'000};
+constexpr int ListenBacklog = 1024;
+
+} // namespace
+
+std::string_view HttpRequest::header(std::string_view name) const
+{
+    const auto position = headers.find(boost::beast::string_view(name.data(), name.size()));
+    if (position == headers.end())
+        return {};
+    return {position->value().data(), position->value().size()};
+}
+
+class HttpServer::Listener : public std::enable_shared_from_this<Listener>
+{
+public:
+    Listener(asio::io_context &context, TimerService &timers, HttpServerSettings settings,
+             HttpHandler handler)
+        : m_settings(std::move(settings))
+        , m_handler(std::move(handler))
+        , m_timers(timers)
+        , m_acceptor(context)
+    { }
+
+    boost::leaf::result<void> open();
+    void accept();
+    void shutDown();
+    void sweep();
+    unsigned short port() const { return m_port; }
+
+    const HttpServerSettings &settings() const { return m_settings; }
+    TimePoint now() const { return m_timers.now(); }
+    void handle(const HttpRequest &request, std::shared_ptr<HttpExchange> exchange)
+    {
+        if (m_handler)
+            m_handler(request, std::move(exchange));
+    }
+    void remove(Session *session) { m_sessions.erase(session); }
+
+    bool closing = false;
+    std::size_t openExchanges = 0;
+
+private:
+    void startSweeping();
+
+    HttpServerSettings m_settings;
+    HttpHandler m_handler;
+    TimerService &m_timers;
+    Tcp::acceptor m_acceptor;
+    unsigned short m_port = 0;
+    // Sessions keep themselves alive by their pending operations and remove themselves at the end.
+    std::unordered_set<Session *> m_sessions;
+    TimerSubscription m_sweep;
+    TimerSubscription m_acceptRetry;
+};
+
+class HttpServer::Session final : public HttpExchange, public std::enable_shared_from_this<Session>
+{
+public:
+    Session(std::shared_ptr<Listener> listener, Tcp::socket socket)
+        : m_listener(std::move(listener))
+        , m_socket(std::move(socket))
+        , m_since(m_listener->now())
+    {
+        boost::system::error_code ignored;
+        m_socket.set_option(Tcp::no_delay(true), ignored);
+    }
+    ~Session() override
+    {
+        settle();
+        m_listener->remove(this);
+    }
+
+    void read();
+    void respond(HttpResponse response) override;
+    void onClosed(std::function<void()> callback) override { m_closed = std::move(callback); }
+    void sweep(TimePoint now);
+    void close();
+
+private:
+    enum class Phase { Idle, Reading, Handling, Writing, Closed };
+
+    void requestRead(const boost::system::error_code &error);
+    void watchForClose();
+    // The request in progress, if any, is over.
+    void settle();
+
+    std::shared_ptr<Listener> m_listener;
+    Tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_response;
+    std::function<void()> m_closed;
+    Phase m_phase = Phase::Idle;
+    // Start of the present phase.
+    TimePoint m_since;
+    bool m_keepAlive = true;
+    bool m_exchangeOpen = false;
+    bool m_watching = false;
+};
+
+boost::leaf::result<void> HttpServer::Listener::open()
+{
+    boost::system::error_code error;
+    m_acceptor.open(m_settings.endpoint.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(m_settings.endpoint, error);
+    if (!error)
+        m_acceptor.listen(ListenBacklog, error);
+    if (error) {
+        std::ostringstream endpoint;
+        endpoint << m_settings.endpoint;
+        return boost::leaf::new_error(ListenError{endpoint.str(), error.message()});
+    }
+    m_port = m_acceptor.local_endpoint().port();
+    startSweeping();
+    accept();
+    return {};
+}
+
+void HttpServer::Listener::startSweeping()
+{
+    m_sweep = m_timers.every(SweepInterval, [this](TimePoint) { sweep(); });
+}
+
+void HttpServer::Listener::accept()
+{
+    m_acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &error,
+                                                        Tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
+            return;
+        if (error) {
+            self->m_acceptRetry = self->m_timers.at(
+                self->now() + AcceptRetryDelay, [raw = self.get()](TimePoint) { raw->accept(); });
+            return;
+        }
+        if (self->m_sessions.size() < self->m_settings.maxConnections) {
+            auto session = std::make_shared<Session>(self, std::move(socket));
+            self->m_sessions.insert(session.get());
+            session->read();
+        } else {
+            LogEvent(LogLevel::Warning, "connection_refused")
+                .field("reason", "too_many_connections")
+                .field("connections", self->m_sessions.size());
+        }
+        self->accept();
+    });
+}
+
+void HttpServer::Listener::sweep()
+{
+    const std::vector<Session *> sessions(m_sessions.begin(), m_sessions.end());
+    for (Session *session : sessions) {
+        if (m_sessions.contains(session))
+            session->sweep(now());
+    }
+}
+
+void HttpServer::Listener::shutDown()
+{
+    m_handler = nullptr;
+    m_sweep.cancel();
+    m_acceptRetry.cancel();
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    const std::vector<Session *> sessions(m_sessions.begin(), m_sessions.end());
+    for (Session *session : sessions) {
+        if (m_sessions.contains(session))
+            session->close();
+    }
+}
+
+void HttpServer::Session::read()
+{
+    m_phase = Phase::Idle;
+    m_since = m_listener->now();
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_listener->settings().maxHeaderBytes));
+    m_parser->body_limit(m_listener->settings().maxBodyBytes);
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self = shared_from_this()](const boost::system::error_code &error,
+                                                 std::size_t) { self->requestRead(error); });
+}
+
+void HttpServer::Session::requestRead(const boost::system::error_code &error)
+{
+    if (m_phase == Phase::Closed)
+        return;
+    if (error) {
+        const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit
+            || error == http::error::buffer_overflow;
+        if (!tooLarge && m_parser->is_header_done() == false && m_buffer.size() == 0)
+            return close();
+        if (error == http::error::end_of_stream
+            || error.category() == asio::error::get_system_category())
+            return close();
+        m_keepAlive = false;
+        m_exchangeOpen = true;
+        ++m_listener->openExchanges;
+        return respond(HttpResponse{tooLarge ? 413U : 400U, {}, {}});
+    }
+    http::request<http::string_body> message = m_parser->release();
+    m_keepAlive = message.keep_alive();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.host = std::string(message[http::field::host]);
+    request.body = std::move(message.body());
+    request.headers = std::move(static_cast<http::fields &>(message.base()));
+    m_phase = Phase::Handling;
+    m_since = m_listener->now();
+    m_exchangeOpen = true;
+    ++m_listener->openExchanges;
+    m_listener->handle(request, shared_from_this());
+    if (m_phase == Phase::Handling)
+        watchForClose();
+}
+
+void HttpServer::Session::watchForClose()
+{
+    if (m_watching || m_buffer.size() > 0)
+        return;
+    m_watching = true;
+    m_socket.async_wait(Tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &error) {
+                            self->m_watching = false;
+                            if (error || self->m_phase != Phase::Handling)
+                                return;
+                            boost::system::error_code failed;
+                            // Readable without data: the client has closed its side.
+                            if (self->m_socket.available(failed) == 0 || failed)
+                                self->close();
+                        });
+}
+
+void HttpServer::Session::respond(HttpResponse response)
+{
+    if (!m_exchangeOpen || m_phase == Phase::Closed)
+        return;
+    settle();
+    m_phase = Phase::Writing;
+    m_since = m_listener->now();
+    const bool keepAlive = m_keepAlive && !m_listener->closing;
+    m_response = {};
+    m_response.version(HttpVersion11);
+    m_response.result(response.status);
+    if (!response.body.empty())
+        m_response.set(http::field::content_type, "application/json");
+    if (response.retryAfterSeconds)
+        m_response.set(http::field::retry_after, std::to_string(*response.retryAfterSeconds));
+    m_response.body() = std::move(response.body);
+    m_response.keep_alive(keepAlive);
+    m_response.prepare_payload();
+    if (m_watching) {
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    }
+    http::async_write(m_socket, m_response,
+                      [self = shared_from_this(), keepAlive](const boost::system::error_code &error,
+                                                             std::size_t) {
+                          if (self->m_phase == Phase::Closed)
+                              return;
+                          if (error || !keepAlive)
+                              return self->close();
+                          self->read();
+                      });
+}
+
+void HttpServer::Session::settle()
+{
+    if (!m_exchangeOpen)
+        return;
+    m_exchangeOpen = false;
+    --m_listener->openExchanges;
+    m_closed = nullptr;
+}
+
+void HttpServer::Session::close()
+{
+    if (m_phase == Phase::Closed)
+        return;
+    m_phase = Phase::Closed;
+    const auto closed = std::exchange(m_closed, nullptr);
+    const bool open = m_exchangeOpen;
+    settle();
+    boost::system::error_code ignored;
+    m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+    if (open && closed)
+        closed();
+}
+
+void HttpServer::Session::sweep(TimePoint now)
+{
+    const HttpServerSettings &settings = m_listener->settings();
+    if (m_phase == Phase::Idle) {
+        const bool partial = m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+        if (now > m_since + (partial ? settings.requestTimeout : settings.idleTimeout))
+            close();
+    } else if (m_phase == Phase::Writing && now > m_since + settings.idleTimeout) {
+        close();
+    }
+}
+
+HttpServer::HttpServer(std::shared_ptr<Listener> listener)
+    : m_listener(std::move(listener))
+{ }
+
+HttpServer::~HttpServer()
+{
+    m_listener->shutDown();
+}
+
+boost::leaf::result<std::unique_ptr<HttpServer>>
+HttpServer::create(boost::asio::io_context &context, TimerService &timers,
+                   HttpServerSettings settings, HttpHandler handler)
+{
+    auto listener =
+        std::make_shared<Listener>(context, timers, std::move(settings), std::move(handler));
+    BOOST_LEAF_CHECK(listener->open());
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(listener)));
+}
+
+unsigned short HttpServer::port() const
+{
+    return m_listener->port();
+}
+
+std::size_t HttpServer::openExchanges() const
+{
+    return m_listener->openExchanges;
+}
+
+void HttpServer::closeAfterResponse()
+{
+    m_listener->closing = true;
+}
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/net/httpserver.h
@@ -0,0 +1,99 @@
+// Plain HTTP/1.1 server by Boost.Beast for interfaces that are not ours to define: it hands whole
+// requests up and takes one response for each. The Connect server (net/connectserver.h) serves the
+// project's own interface.
+#pragma once
+
+#include "base/coretime.h"
+#include "kernel/timerservice.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/leaf.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Bluebellquay {
+
+struct HttpServerSettings
+{
+    boost::asio::ip::tcp::endpoint endpoint;
+    std::size_t maxHeaderBytes = 16UL << 10;
+    std::size_t maxBodyBytes = 256UL << 10;
+    // A connection that has sent part of a request for this long is closed.
+    Duration requestTimeout{5'000'000};
+    // A connection without a request is closed after this time.
+    Duration idleTimeout{60'000'000};
+    std::size_t maxConnections = 2'000;
+};
+
+struct HttpRequest
+{
+    std::string method;
+    std::string target;
+    std::string host;
+    boost::beast::http::fields headers;
+    std::string body;
+
+    // Empty if there is no such header.
+    std::string_view header(std::string_view name) const;
+};
+
+struct HttpResponse
+{
+    unsigned status = 200;
+    // Sent as application/json; nothing is sent if it is empty.
+    std::string body;
+    // Whole seconds, if a Retry-After header is to be sent.
+    std::optional<std::uint32_t> retryAfterSeconds;
+};
+
+// One request that waits for its response. May be answered at once or later, once.
+class HttpExchange
+{
+public:
+    HttpExchange() = default;
+    virtual ~HttpExchange() = default;
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+
+    virtual void respond(HttpResponse response) = 0;
+    // Called once if the client closes the connection before it is answered.
+    virtual void onClosed(std::function<void()> callback) = 0;
+};
+
+using HttpHandler = std::function<void(const HttpRequest &, std::shared_ptr<HttpExchange>)>;
+
+// Handlers run on the thread of the io_context.
+class HttpServer
+{
+public:
+    // Fails with ListenError (net/connectserver.h).
+    static boost::leaf::result<std::unique_ptr<HttpServer>> create(boost::asio::io_context &context,
+                                                                   TimerService &timers,
+                                                                   HttpServerSettings settings,
+                                                                   HttpHandler handler);
+    ~HttpServer();
+
+    unsigned short port() const;
+    // Requests that wait for their response.
+    std::size_t openExchanges() const;
+    // From now on each response closes its connection; idle connections stay until their next one.
+    void closeAfterResponse();
+
+private:
+    class Listener;
+    class Session;
+
+    explicit HttpServer(std::shared_ptr<Listener> listener);
+
+    std::shared_ptr<Listener> m_listener;
+};
+
+} // namespace Bluebellquay
--- a/source/net/messagecodec.cpp
+++ b/source/net/messagecodec.cpp
@@ -47,6 +47,10 @@
 {
     return value >= TaskStatus::NotStarted && value <= TaskStatus::Lost;
 }
+bool isKnown(RunResult value)
+{
+    return value >= RunResult::Done && value <= RunResult::NotStarted;
+}
 // The numbers of the reasons have gaps between the outcomes.
 bool isKnown(Reason value)
 {
--- a/source/net/messagefields.h
+++ b/source/net/messagefields.h
@@ -134,6 +134,40 @@
 inline constexpr auto WireFields<DrainAck> = std::make_tuple(&DrainAck::correlation,
                                                              &DrainAck::state);
 
+template <>
+inline constexpr auto WireFields<RunKey> = std::make_tuple(&RunKey::job, &RunKey::step,
+                                                           &RunKey::index, &RunKey::run);
+template <>
+inline constexpr auto WireFields<RunOrder> = std::make_tuple(&RunOrder::index, &RunOrder::run,
+                                                             &RunOrder::order,
+                                                             &RunOrder::expectedRunTime);
+template <>
+inline constexpr auto WireFields<EndedRun> = std::make_tuple(&EndedRun::run, &EndedRun::end,
+                                                             &EndedRun::runTime);
+template <>
+inline constexpr auto WireFields<StartRuns> = std::make_tuple(&StartRuns::job, &StartRuns::step,
+                                                              &StartRuns::payload, &StartRuns::need,
+                                                              &StartRuns::timeLeft,
+                                                              &StartRuns::orders);
+template <>
+inline constexpr auto WireFields<StopRuns> = std::make_tuple(&StopRuns::runs);
+template <>
+inline constexpr auto WireFields<RunsAtAgent> = std::make_tuple(&RunsAtAgent::runs);
+template <>
+inline constexpr auto WireFields<RunsEnded> = std::make_tuple(&RunsEnded::runs);
+template <>
+inline constexpr auto WireFields<WorkerRoom> = std::make_tuple(
+    &WorkerRoom::sequence, &WorkerRoom::accepting, &WorkerRoom::probation, &WorkerRoom::settled,
+    &WorkerRoom::service, &WorkerRoom::labels, &WorkerRoom::total, &WorkerRoom::free,
+    &WorkerRoom::overcommittedMilliProcessors, &WorkerRoom::slowdownPermille,
+    &WorkerRoom::lastOrder);
+template <>
+inline constexpr auto WireFields<ReleaseJob> = std::make_tuple(&ReleaseJob::number,
+                                                               &ReleaseJob::job);
+template <>
+inline constexpr auto WireFields<JobReleased> = std::make_tuple(&JobReleased::number,
+                                                                &JobReleased::known);
+
 // True for structs that have a list above; each goes on the wire as an array of its fields.
 template <typename Struct>
 concept WireStruct = std::tuple_size_v<std::remove_cv_t<decltype(WireFields<Struct>)>> >
--- a/tests/net/messagegenerators.h
+++ b/tests/net/messagegenerators.h
@@ -89,6 +89,11 @@
     value = *rc::gen::element(TaskStatus::NotStarted, TaskStatus::Running, TaskStatus::Finished,
                               TaskStatus::Lost);
 }
+inline void generate(RunResult &value)
+{
+    value = *rc::gen::element(RunResult::Done, RunResult::Failed, RunResult::Stopped,
+                              RunResult::Lost, RunResult::NotStarted);
+}
 template <typename Value>
 void generate(std::optional<Value> &value);
 template <typename Element, std::size_t Size>
