--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -65,8 +65,12 @@
     TimePoint arrived;
     // By then the caller has stopped waiting.
     TimePoint deadline;
-    // By then the job should be done; orders the jobs.
+    // By then the job should be done.
     TimePoint objective;
+    // To be done by then its first task has to start by this time.
+    TimePoint latestStart;
+    // Position of its waiting tasks; see JobOrder.
+    TimePoint rank;
     // Tasks by step.
     std::vector<std::vector<KeyedTask>> tasks;
     std::uint32_t ordersSent = 0;
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -75,7 +75,12 @@
     job.lastRun = firstRun;
     if (m_jobs.size() >= m_settings.maxJobs) {
         ++m_statistics.jobsRefused;
-        out.answers.push_back({call, refusal(now, job, Reason::Overload)});
+        out.answers.push_back({call, refusal(job, Reason::Overload)});
+        return;
+    }
+    if (m_end && now + expectedChain(job) > *m_end) {
+        ++m_statistics.jobsRefused;
+        out.answers.push_back({call, refusal(job, Reason::Stopping)});
         return;
     }
     m_calls[call] = job.spec.key;
@@ -92,12 +97,15 @@
     const auto slack = std::chrono::duration_cast<Duration>(chain * job.rule.slackFactor);
     const Duration objective = slack + job.rule.allowance;
     job.objective = job.arrived + objective;
+    job.latestStart = job.objective - chain;
+    job.rank = m_settings.order.rank(now, job);
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
     unblockSteps(now, job);
     const TimePoint useless = job.arrived + objective * UsefulLateness;
     const TimePoint hopeless = std::min(useless, job.deadline) - chain;
+    m_timers.schedule(job.latestStart, Timer{TimerKind::Late, {key, 0, 0}, {}});
     m_timers.schedule(std::max(now, hopeless), Timer{TimerKind::Hopeless, {key, 0, 0}, {}});
     m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
 }
@@ -146,7 +154,7 @@
 
 void RunDispatcher::makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index)
 {
-    m_ready.emplace(job.objective, TaskRef{job.spec.key, step, index});
+    m_ready.emplace(job.rank, TaskRef{job.spec.key, step, index});
 }
 
 void RunDispatcher::dispatch(TimePoint now, DispatchOutbox &out)
@@ -434,7 +442,7 @@
             const KeyedTask &task = job.tasks[step][index];
             const TaskRef ref{job.spec.key, step, index};
             if (task.phase == TaskPhase::Ready)
-                m_ready.erase({job.objective, ref});
+                m_ready.erase({job.rank, ref});
             if (task.phase == TaskPhase::Ordered)
                 stops[task.agent].runs.push_back({ref.job, step, index, task.run});
         }
@@ -491,10 +499,13 @@
                 task.phase = TaskPhase::Ready;
                 makeReady(job, timer->task.step, timer->task.index);
             }
+        } else if (timer->kind == TimerKind::Late) {
+            if (job.ordersSent == 0)
+                becomeLate(now, job, out);
         } else if (timer->kind == TimerKind::Hopeless) {
             if (job.ordersSent > 0)
                 continue;
-            finish(now, job, refusal(now, job, Reason::Overload), out);
+            finish(now, job, refusal(job, Reason::Overload), out);
             closeIfOver(now, timer->task.job, out);
         } else if (now >= job.deadline) {
             Answer answer;
@@ -520,22 +531,51 @@
     m_runsAt.erase(agent);
 }
 
-Answer RunDispatcher::refusal(TimePoint, const KeyedJob &job, Reason reason) const
+void RunDispatcher::becomeLate(TimePoint now, KeyedJob &job, DispatchOutbox &out)
 {
-    Answer answer;
-    answer.outcome = Outcome::NotRun;
-    answer.reason = reason;
-    // Time in which the workers would do what waits here.
-    double waitingWork = 0;
+    const JobKey key = job.spec.key;
+    std::vector<TaskRef> waiting;
+    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+            if (m_ready.erase({job.rank, TaskRef{key, step, index}}) > 0)
+                waiting.push_back({key, step, index});
+        }
+    }
+    job.rank = m_settings.order.rank(now, job);
+    const Duration objective = job.objective - job.arrived;
+    const TimePoint useless = std::min(job.arrived + objective * UsefulLateness, job.deadline);
+    // Whoever can hardly be served any more is told so now, not when it is certain.
+    if (now + expectedWait(job) + expectedChain(job) > useless) {
+        finish(now, job, refusal(job, Reason::Overload), out);
+        return closeIfOver(now, key, out);
+    }
+    for (const TaskRef &ref : waiting)
+        makeReady(job, ref.step, ref.index);
+}
+
+Duration RunDispatcher::expectedWait(const KeyedJob &job) const
+{
+    double work = 0;
     for (const auto &[rank, ref] : m_ready) {
+        if (rank > job.rank)
+            break;
         const KeyedJob &waiting = m_jobs.at(ref.job);
-        waitingWork += static_cast<double>(waiting.spec.steps[ref.step].need.milliProcessors)
+        work += static_cast<double>(waiting.spec.steps[ref.step].need.milliProcessors)
             * static_cast<double>(expectedRunTime(waiting, ref.step).count());
     }
     const double capacity =
         std::max<double>(1, static_cast<double>(m_board.totalMilliProcessors(job.rule.service)));
-    const Duration wait(static_cast<Duration::rep>(waitingWork / capacity));
-    answer.retryAfter = std::clamp(wait, ShortestRetryAfter, LongestRetryAfter);
+    // Each home has a share of the workers.
+    const auto homes = static_cast<double>(std::max<std::size_t>(1, m_homes));
+    return Duration(static_cast<Duration::rep>(work * homes / capacity));
+}
+
+Answer RunDispatcher::refusal(const KeyedJob &job, Reason reason) const
+{
+    Answer answer;
+    answer.outcome = Outcome::NotRun;
+    answer.reason = reason;
+    answer.retryAfter = std::clamp(expectedWait(job), ShortestRetryAfter, LongestRetryAfter);
     return answer;
 }
 
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -6,6 +6,7 @@
 // DispatchOutbox.
 #pragma once
 
+#include "core/joborder.h"
 #include "core/keyedjob.h"
 #include "core/runtimeestimates.h"
 #include "core/timerheap.h"
@@ -48,6 +49,7 @@
     // Until a caller that set no deadline gives up.
     Duration defaultTimeout{30'000'000};
     EarliestEnd choice;
+    LeastTimeLeft order;
 };
 
 struct RunDispatcherStatistics
@@ -76,11 +78,16 @@
     void submit(TimePoint now, CallId call, KeyedJobSpec spec, const QueueRule &rule,
                 std::optional<Duration> timeout, RunNumber firstRun, DispatchOutbox &out);
     void callerLeft(TimePoint now, CallId call, DispatchOutbox &out);
+    // Number of entries that share the workers, this one included.
+    void setHomes(std::size_t homes) { m_homes = homes; }
     // Another entry asks, for a caller that cancels, or for itself.
     void handle(TimePoint now, Incarnation entry, const ReleaseJob &message, DispatchOutbox &out);
     // Cancels the job if this is its home; returns whether it is.
     bool cancel(TimePoint now, JobKey job, DispatchOutbox &out);
-    // Ends every job: this process has been suspended for so long that its agents have given it up.
+    // The process stops at this time: jobs that can't be done by then are refused.
+    void beginStop(TimePoint end) { m_end = end; }
+    // Ends every job with "unknown": the process has been suspended for so long that its agents have
+    // given it up, or it is about to exit.
     void abandonAll(TimePoint now, DispatchOutbox &out);
 
     void agentUp(TimePoint now, const ProcessInfo &agent, DispatchOutbox &out);
@@ -109,7 +116,7 @@
         // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted comparison.
         friend auto operator<=>(const TaskRef &, const TaskRef &) = default;
     };
-    enum class TimerKind : std::uint8_t { Deadline, Hopeless, TaskReady, AgentGone };
+    enum class TimerKind : std::uint8_t { Deadline, Late, Hopeless, TaskReady, AgentGone };
     struct Timer
     {
         TimerKind kind;
@@ -134,7 +141,11 @@
     void release(TimePoint now, KeyedJob &job, DispatchOutbox &out);
     void closeIfOver(TimePoint now, JobKey key, DispatchOutbox &out);
     void agentGone(TimePoint now, Incarnation agent, DispatchOutbox &out);
-    Answer refusal(TimePoint now, const KeyedJob &job, Reason reason) const;
+    // The job can't be done in time any more and has not begun.
+    void becomeLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
+    // Time in which the workers would do the waiting work that goes before this job.
+    Duration expectedWait(const KeyedJob &job) const;
+    Answer refusal(const KeyedJob &job, Reason reason) const;
     void log(const KeyedJob &job, const Answer &answer, TimePoint now) const;
 
     RunDispatcherSettings m_settings;
@@ -149,6 +160,9 @@
     // Runs that may be at an agent.
     std::map<Incarnation, std::set<RunKey>> m_runsAt;
     TimerHeap<Timer> m_timers;
+    std::size_t m_homes = 1;
+    // When the process exits, if that is known.
+    std::optional<TimePoint> m_end;
 };
 
 } // namespace Bluebellquay
--- a/source/core/runledger.cpp
+++ b/source/core/runledger.cpp
@@ -1,5 +1,7 @@
 #include "core/runledger.h"
 
+#include "kernel/log.h"
+
 #include <algorithm>
 
 namespace Bluebellquay {
@@ -99,9 +101,9 @@
             continue;
         if (run.state == RunState::Ordered && account.askedAt > run.started + OrderSettlesWithin)
             requestStop(now, current->first, run, out);
-        // An account that was asked for after the stop had time to take effect proves the end.
-        const bool stopped =
-            run.stopConfirmed && account.askedAt >= *run.stopConfirmed + m_settings.stopDuration;
+        // The worker lists a run as running until it lists its end. So a run that is not listed
+        // after its stop was confirmed has ended before or was never started.
+        const bool stopped = run.stopConfirmed && account.askedAt >= *run.stopConfirmed;
         // A confirmed run that is neither running nor listed as ended was forgotten by the worker.
         const bool forgotten = run.state == RunState::Running && account.askedAt > run.started;
         if (stopped)
@@ -134,9 +136,7 @@
             requestStop(now, key, run, out);
         return;
     case StartAnswer::Unhealthy:
-        ++m_statistics.suspensions;
-        m_watch.suspend(now);
-        scheduleCheck(*m_watch.probeAt());
+        suspend(now, "unhealthy", out);
         break;
     case StartAnswer::Refused:
     case StartAnswer::NotSent:
@@ -375,9 +375,13 @@
             m_watch.probeAbandoned();
         if (how == RunResult::Failed && m_watch.onProbation()) {
             ++m_statistics.suspensions;
+            logSuspension(now, "failures");
             scheduleCheck(*m_watch.probeAt());
             returnWaiting(now, out);
         }
+        if (suspendedBefore && !m_watch.onProbation())
+            LogEvent(LogLevel::Info, "worker_resumed")
+                .field("worker", m_worker ? m_worker->identity.name : "");
         switch (how) {
         case RunResult::Done:
             ++m_statistics.done;
@@ -415,31 +419,58 @@
         end(now, m_runs.find(m_waiting.begin()->second), RunResult::NotStarted, out);
 }
 
-void RunLedger::checkStandstill(TimePoint now, RunOutbox &out)
+bool RunLedger::standsStill(TimePoint now) const
 {
-    // Runs that were overdue when another one ended are slow, not at a standstill.
-    std::vector<Runs::iterator> overdue;
-    bool sinceLastEnd = true;
-    for (auto position = m_runs.begin(); position != m_runs.end(); ++position) {
-        const Run &run = position->second;
+    std::uint32_t overdue = 0;
+    std::set<JobKey> jobs;
+    for (const auto &[key, run] : m_runs) {
         if (run.state != RunState::Running)
             continue;
         const TimePoint due = WorkerWatch::overdueAt(run.started, run.expected);
         if (now < due)
             continue;
-        overdue.push_back(position);
-        sinceLastEnd = sinceLastEnd && m_watch.lastEnd() < due;
+        // A run that was overdue when another one ended is slow, not at a standstill.
+        if (m_watch.lastEnd() >= due)
+            return false;
+        ++overdue;
+        jobs.insert(key.job);
     }
-    if (!sinceLastEnd || overdue.size() < WorkerWatch::OverdueRuns)
+    if (m_watch.onProbation())
+        return overdue > 0;
+    return overdue >= WorkerWatch::OverdueRuns && jobs.size() >= WorkerWatch::OverdueJobs;
+}
+
+void RunLedger::checkStandstill(TimePoint now, RunOutbox &out)
+{
+    if (!standsStill(now))
         return;
     ++m_statistics.standstills;
+    suspend(now, "standstill", out);
+    for (auto &[key, run] : m_runs) {
+        if (run.state == RunState::Running)
+            requestStop(now, key, run, out);
+    }
+}
+
+void RunLedger::suspend(TimePoint now, std::string_view reason, RunOutbox &out)
+{
+    ++m_statistics.suspensions;
     m_watch.suspend(now);
+    logSuspension(now, reason);
     scheduleCheck(*m_watch.probeAt());
-    for (const auto &position : overdue)
-        requestStop(now, position->first, position->second, out);
     returnWaiting(now, out);
 }
 
+void RunLedger::logSuspension(TimePoint now, std::string_view reason) const
+{
+    LogEvent(LogLevel::Warning, "worker_suspended")
+        .field("worker", m_worker ? m_worker->identity.name : "")
+        .field("reason", reason)
+        .field("runs", m_runs.size())
+        .field("last_end_ms_ago", (now - m_watch.lastEnd()).count() / 1000)
+        .field("probe_in_ms", (*m_watch.probeAt() - now).count() / 1000);
+}
+
 void RunLedger::adoptForeign(TimePoint now, const RunKey &key, RunOutbox &out)
 {
     // A run that this incarnation has seen the end of may still be listed by an older account.
--- a/source/core/runledger.h
+++ b/source/core/runledger.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -33,8 +34,6 @@
 
 struct RunLedgerSettings
 {
-    // Time that a stop takes on the worker at most, once it has been answered.
-    Duration stopDuration{50'000};
     // An order that has waited this long for room goes back to its home, which may know a better
     // place.
     Duration longestWait{250'000};
@@ -136,7 +135,11 @@
     void end(TimePoint now, Runs::iterator position, RunResult how, RunOutbox &out);
     void endAll(TimePoint now, RunOutbox &out);
     void returnWaiting(TimePoint now, RunOutbox &out);
+    // Several runs are overdue and nothing has ended since they became so.
+    bool standsStill(TimePoint now) const;
     void checkStandstill(TimePoint now, RunOutbox &out);
+    void suspend(TimePoint now, std::string_view reason, RunOutbox &out);
+    void logSuspension(TimePoint now, std::string_view reason) const;
     void adoptForeign(TimePoint now, const RunKey &key, RunOutbox &out);
     void reportRooms(TimePoint now, RunOutbox &out);
     WorkerRoom describeRoom(TimePoint now) const;
--- a/source/core/workerwatch.h
+++ b/source/core/workerwatch.h
@@ -25,10 +25,12 @@
     static constexpr Duration FirstSuspension{400'000};
     static constexpr Duration LongestSuspension{3'200'000};
     // A run is overdue after this multiple of its expected time, and this much more.
-    static constexpr int OverdueFactor = 3;
-    static constexpr Duration OverdueSlack{60'000};
-    // So many overdue runs, with no run ended since they became overdue, mean a standstill.
+    static constexpr int OverdueFactor = 2;
+    static constexpr Duration OverdueSlack{40'000};
+    // So many overdue runs, with no run ended since they became overdue, mean a standstill. The
+    // tasks of one job may all take longer than expected, so they must be of several jobs.
     static constexpr std::uint32_t OverdueRuns = 3;
+    static constexpr std::size_t OverdueJobs = 2;
 
     void ended(TimePoint now, JobKey job, RunResult end, Duration runTime, Duration expected)
     {
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -67,6 +67,7 @@
 
     bool closing = false;
     std::size_t openExchanges = 0;
+    std::size_t writing = 0;
 
 private:
     void startSweeping();
@@ -285,9 +286,11 @@
         boost::system::error_code ignored;
         m_socket.cancel(ignored);
     }
+    ++m_listener->writing;
     http::async_write(m_socket, m_response,
                       [self = shared_from_this(), keepAlive](const boost::system::error_code &error,
                                                              std::size_t) {
+                          --self->m_listener->writing;
                           if (self->m_phase == Phase::Closed)
                               return;
                           if (error || !keepAlive)
@@ -361,6 +364,11 @@
     return m_listener->openExchanges;
 }
 
+bool HttpServer::idle() const
+{
+    return m_listener->openExchanges == 0 && m_listener->writing == 0;
+}
+
 void HttpServer::closeAfterResponse()
 {
     m_listener->closing = true;
--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -84,6 +84,8 @@
     unsigned short port() const;
     // Requests that wait for their response.
     std::size_t openExchanges() const;
+    // No request waits for its response, and every response has been handed to the system.
+    bool idle() const;
     // From now on each response closes its connection; idle connections stay until their next one.
     void closeAfterResponse();
 
