--- a/source/core/runledger.cpp
+++ b/source/core/runledger.cpp
@@ -10,8 +10,9 @@
 
 // Time between two tries of a stop that got no answer.
 constexpr Duration StopRetryDelay{40'000};
-// An order that is neither answered nor listed after this time is treated as lost.
-constexpr Duration OrderSettlesWithin{1'000'000};
+// A worker on the same machine answers within a few milliseconds. An order that is not answered by
+// then is looked for in the worker's account, and treated as lost if it is not there.
+constexpr Duration OrderSettlesWithin{30'000};
 // Waiting orders behind the first that are tried when the first does not fit.
 constexpr int LookAhead = 8;
 
@@ -99,7 +100,7 @@
         Run &run = current->second;
         if (running.contains(current->first))
             continue;
-        if (run.state == RunState::Ordered && account.askedAt > run.started + OrderSettlesWithin)
+        if (run.state == RunState::Ordered && account.askedAt >= run.started + OrderSettlesWithin)
             requestStop(now, current->first, run, out);
         // The worker lists a run as running until it lists its end. So a run that is not listed
         // after its stop was confirmed has ended before or was never started.
@@ -260,6 +261,12 @@
         case TimerKind::ForgetEnd:
             m_endsKept.erase(timer->run);
             break;
+        case TimerKind::CheckOrder: {
+            const auto position = m_runs.find(timer->run);
+            if (position != m_runs.end() && position->second.state == RunState::Ordered)
+                out.look = true;
+            break;
+        }
         case TimerKind::RepeatStop: {
             const auto position = m_runs.find(timer->run);
             if (position != m_runs.end() && !position->second.stopConfirmed)
@@ -342,6 +349,7 @@
     run.started = now;
     ++m_statistics.started;
     out.starts.push_back({position->first, std::move(run.payload)});
+    m_timers.schedule(now + OrderSettlesWithin, Timer{TimerKind::CheckOrder, position->first});
     scheduleCheck(WorkerWatch::overdueAt(now, run.expected));
 }
 
@@ -423,9 +431,13 @@
 {
     std::uint32_t overdue = 0;
     std::set<JobKey> jobs;
+    double missingEnds = 0;
     for (const auto &[key, run] : m_runs) {
         if (run.state != RunState::Running)
             continue;
+        const TimePoint quietSince = std::max(run.started, m_watch.lastEnd());
+        missingEnds += static_cast<double>((now - quietSince).count())
+            / static_cast<double>(std::max<Duration::rep>(1, run.expected.count()));
         const TimePoint due = WorkerWatch::overdueAt(run.started, run.expected);
         if (now < due)
             continue;
@@ -437,7 +449,8 @@
     }
     if (m_watch.onProbation())
         return overdue > 0;
-    return overdue >= WorkerWatch::OverdueRuns && jobs.size() >= WorkerWatch::OverdueJobs;
+    return overdue >= WorkerWatch::OverdueRuns && jobs.size() >= WorkerWatch::OverdueJobs
+        && missingEnds >= WorkerWatch::MissingEnds;
 }
 
 void RunLedger::checkStandstill(TimePoint now, RunOutbox &out)
--- a/source/core/runledger.h
+++ b/source/core/runledger.h
@@ -30,6 +30,8 @@
     std::vector<std::pair<Incarnation, Message>> messages;
     std::vector<WorkerStart> starts;
     std::vector<WorkerStop> stops;
+    // Ask the worker for an account now.
+    bool look = false;
 };
 
 struct RunLedgerSettings
@@ -118,7 +120,7 @@
         Incarnation home;
         EndedRun end;
     };
-    enum class TimerKind : std::uint8_t { Check, RepeatStop, ForgetEnd };
+    enum class TimerKind : std::uint8_t { Check, CheckOrder, RepeatStop, ForgetEnd };
     struct Timer
     {
         TimerKind kind;
--- a/source/core/workerwatch.h
+++ b/source/core/workerwatch.h
@@ -31,6 +31,8 @@
     // tasks of one job may all take longer than expected, so they must be of several jobs.
     static constexpr std::uint32_t OverdueRuns = 3;
     static constexpr std::size_t OverdueJobs = 2;
+    // So many ends, by the expected times of what runs, must be missing since the last one.
+    static constexpr double MissingEnds = 8;
 
     void ended(TimePoint now, JobKey job, RunResult end, Duration runTime, Duration expected)
     {
