--- a/tests/config/temporaryfile.h
+++ b/tests/config/temporaryfile.h
@@ -28,6 +28,7 @@
     TemporaryFolder(const TemporaryFolder &) = delete;
     TemporaryFolder &operator=(const TemporaryFolder &) = delete;
 
+    std::string path() const { return m_path.string(); }
     // Returns the path of the new file.
     std::string write(const std::string &name, const std::string &content, mode_t mode = 0600) const
     {
--- /dev/null
+++ b/tests/platform/documentstest.cpp
@@ -0,0 +1,213 @@
+// Guards the decoders of the platform's documents: examples are read, bad input is refused or left
+// out, and no input of any kind breaks the process.
+#include "platform/advertisement.h"
+#include "platform/configdocument.h"
+#include "platform/jobdocument.h"
+#include "platform/workerdocument.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace Bluebellquay;
+using namespace Bluebellquay::Platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string JobBody =
+    R"({"bestEffort":true,"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900},)"
+    R"({"count":20,"cpu":2000,"after":[0]}]})";
+const std::string ConfigBody =
+    R"({"version":7,"routes":[{"name":"r-1","host":"a.example","pathPrefix":"/x/","service":"s",)"
+    R"("timeoutMs":1500,"objectiveMs":60,"priority":0,"maxAttempts":4,"slackFactor":1.6},)"
+    R"({"name":"r-2","host":"a.example","pathPrefix":"/x/y/","service":"s"}],"services":[],"limits":{}})";
+const std::string Announcement =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","capacity":8,"state":"ready",)"
+    R"("freeCapacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"born":1700000000000,)"
+    R"("sequence":4})";
+const std::string Account =
+    R"({"clockMs":482113,"born":17,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],)"
+    R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",1,"lapsed",""]]})";
+
+// One random change of the text: bytes replaced, removed or doubled.
+std::string mutate(std::string text, std::mt19937_64 &random)
+{
+    const auto position = [&] {
+        return std::uniform_int_distribution<std::size_t>(0, text.size() - 1)(random);
+    };
+    const int changes = std::uniform_int_distribution<int>(1, 6)(random);
+    for (int i = 0; i < changes && !text.empty(); ++i) {
+        switch (std::uniform_int_distribution<int>(0, 3)(random)) {
+        case 0:
+            text[position()] = static_cast<char>(random());
+            break;
+        case 1:
+            text.erase(position(), 1 + random() % 8);
+            break;
+        case 2:
+            text.insert(position(), text.substr(position(), 1 + random() % 16));
+            break;
+        default:
+            text.resize(position());
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a job is decoded with its steps")
+{
+    const auto decoded = decodeJob(JobKey(1), JobBody);
+    const auto *job = std::get_if<KeyedJobSpec>(&decoded);
+    REQUIRE(job != nullptr);
+    REQUIRE(job->steps.size() == 2);
+    CHECK(job->payload == "text");
+    CHECK(job->steps[0].tasks == 4);
+    CHECK(job->steps[0].need.milliProcessors == 500);
+    CHECK(job->steps[0].declaredRunTime == 900ms);
+    CHECK(job->steps[1].after == std::vector<std::uint32_t>{0});
+}
+
+TEST_CASE("jobs that are malformed or of a kind that is not built are told apart")
+{
+    const auto kindOf = [](std::string_view body) -> std::optional<JobRejection::Kind> {
+        const auto decoded = decodeJob(JobKey(1), body);
+        const auto *rejection = std::get_if<JobRejection>(&decoded);
+        return rejection != nullptr ? std::optional(rejection->kind) : std::nullopt;
+    };
+    using enum JobRejection::Kind;
+    CHECK(kindOf("") == Malformed);
+    CHECK(kindOf("[]") == Malformed);
+    CHECK(kindOf(R"({"bestEffort":true})") == Malformed);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[]})") == Malformed);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":-1}]})") == Malformed);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"cpu":"1"}]})") == Malformed);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"after":[0]}]})") == Malformed);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":0}]})") == Malformed);
+    CHECK(kindOf(R"({"steps":[{"count":1}]})") == Unsupported);
+    CHECK(kindOf(R"({"bestEffort":true,"longRunning":true,"steps":[{"count":1}]})") == Unsupported);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"gang":true}]})") == Unsupported);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"gang":false}]})") == std::nullopt);
+    CHECK(kindOf(R"({"bestEffort":true,"new":1,"steps":[{"count":1}]})") == std::nullopt);
+}
+
+TEST_CASE("a key has sixteen lower-case hexadecimal digits and is written back unchanged")
+{
+    CHECK(parseJobKey("00000bb87a21d94b") == JobKey(0x00000bb87a21d94b));
+    CHECK(jobKeyText(JobKey(0x00000bb87a21d94b)) == "00000bb87a21d94b");
+    for (const char *text : {"", "0", "00000bb87a21d94", "00000bb87a21d94b0", "00000BB87A21D94B",
+                             "00000bb87a21d94g", "-0000bb87a21d94b"})
+        CHECK_FALSE(parseJobKey(text));
+}
+
+TEST_CASE("the longest prefix of the host selects the queue")
+{
+    const auto decoded = decodeConfig(ConfigBody);
+    REQUIRE(decoded);
+    CHECK(decoded->findings.empty());
+    const QueueRules &rules = decoded->rules;
+    CHECK(rules.version() == ConfigVersion(7));
+    REQUIRE(rules.find("a.example", "/x/1") != nullptr);
+    CHECK(rules.find("a.example", "/x/1")->name == "r-1");
+    CHECK(rules.find("a.example", "/x/y/1")->name == "r-2");
+    CHECK(rules.find("b.example", "/x/1") == nullptr);
+    CHECK(rules.find("a.example", "/z/1") == nullptr);
+    CHECK(rules.find("a.example", "/x/1")->maxAttempts == 4);
+    CHECK(rules.find("a.example", "/x/1")->allowance == 60ms);
+}
+
+TEST_CASE("a bad route is left out with its place, the others hold")
+{
+    const auto decoded = decodeConfig(
+        R"({"version":8,"routes":[{"name":5},{"name":"r","host":"h","pathPrefix":"/","service":"s"}]})");
+    REQUIRE(decoded);
+    REQUIRE(decoded->findings.size() == 1);
+    CHECK(decoded->findings[0].starts_with("routes[0]"));
+    CHECK(decoded->rules.size() == 1);
+    CHECK_FALSE(decodeConfig(R"({"routes":[]})"));
+    CHECK_FALSE(decodeConfig("{"));
+}
+
+TEST_CASE("an announcement names a worker; one of another writer names none")
+{
+    std::string reason;
+    const auto profile = decodeAnnouncement("i-1", Announcement, reason);
+    REQUIRE(profile);
+    CHECK(profile->identity == WorkerIdentity{"i-1", 1700000000000});
+    CHECK(profile->room.milliProcessors == 16000);
+    CHECK(profile->labels == std::vector<std::string>{"a", "r1-3"});
+    CHECK_FALSE(profile->draining);
+    CHECK(announcementNumber(Announcement) == 4);
+    for (const std::string field : {"service", "address", "state", "born", "freeCapacity"}) {
+        std::string renamed = Announcement;
+        renamed.replace(renamed.find('"' + field + '"'), field.size() + 2, "\"other\"");
+        CHECK_FALSE(decodeAnnouncement("i-1", renamed, reason));
+    }
+    std::string state = Announcement;
+    state.replace(state.find("ready"), 5, "tired");
+    CHECK_FALSE(decodeAnnouncement("i-1", state, reason));
+}
+
+TEST_CASE("a worker's account lists runs and ends; rows that can't be read are counted")
+{
+    const auto account = decodeAccount(Account);
+    REQUIRE(account);
+    REQUIRE(account->running.size() == 1);
+    CHECK(account->running[0] == RunKey{JobKey(0x5c0e7a21d94b36f8), 1, 17, RunNumber(2)});
+    REQUIRE(account->ended.size() == 2);
+    CHECK(account->ended[0].end == RunResult::Done);
+    CHECK(account->ended[1].end == RunResult::Lost);
+    CHECK(account->lastEnd == 59);
+    CHECK(account->unreadable == 0);
+    const auto odd = decodeAccount(
+        R"({"born":1,"running":[["x",2],5],"ended":[[60,"5c0e7a21d94b36f8.0.1.8",1,"odd",""]]})");
+    REQUIRE(odd);
+    CHECK(odd->unreadable == 3);
+    CHECK(odd->lastEnd == 60);
+}
+
+TEST_CASE("task names are read back as they were written")
+{
+    const RunKey run{JobKey(0x5c0e7a21d94b36f8), 3, 12, RunNumber(9)};
+    CHECK(taskName(run) == "5c0e7a21d94b36f8.0.3.12");
+    CHECK(parseTaskName(taskName(run), 9) == run);
+    for (const char *name :
+         {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.3", "5c0e7a21d94b36f8.0.3.",
+          "5c0e7a21d94b36f8.0.3.1.1", "5c0e7a21d94b36f8.0.-3.1", "x.0.3.1"})
+        CHECK_FALSE(parseTaskName(name, 1));
+}
+
+TEST_CASE("an advertisement is read back; one without a usable address is not")
+{
+    ProcessInfo process;
+    process.address = "10.0.0.1:7700";
+    CHECK(decodeAdvertisement(encodeAdvertisement(process)) == "10.0.0.1:7700");
+    CHECK_FALSE(decodeAdvertisement(R"({"peer_address":"nowhere"})"));
+    CHECK_FALSE(decodeAdvertisement("\xff\xfe"));
+}
+
+TEST_CASE("random bytes and changed documents are decoded or refused, whatever they are")
+{
+    std::mt19937_64 random(20'261'204);
+    const std::string seeds[] = {JobBody, ConfigBody, Announcement, Account};
+    for (int i = 0; i < 20'000; ++i) {
+        std::string text = mutate(seeds[random() % std::size(seeds)], random);
+        if (i % 10 == 0) {
+            text.resize(random() % 64);
+            for (char &c : text)
+                c = static_cast<char>(random());
+        }
+        std::string reason;
+        decodeJob(JobKey(1), text);
+        decodeConfig(text);
+        decodeAnnouncement("i-1", text, reason);
+        decodeAccount(text);
+        decodeReply(text);
+        decodeAdvertisement(text);
+        parseTaskName(text, 1);
+        parseJobKey(text);
+    }
+    SUCCEED();
+}
--- /dev/null
+++ b/tests/platform/httptest.cpp
@@ -0,0 +1,136 @@
+// Guards the plain HTTP server and client: what reaches the handler, when a caller's leaving is
+// noticed, and that a call that may have been seen is never reported as not sent.
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace Bluebellquay;
+using namespace std::chrono_literals;
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+class HttpFixture
+{
+public:
+    HttpFixture()
+    {
+        HttpServerSettings settings;
+        settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
+        settings.maxBodyBytes = 1'000;
+        server = HttpServer::create(
+                     context, timers, settings,
+                     [this](const HttpRequest &request, std::shared_ptr<HttpExchange> exchange) {
+                         requests.push_back(request);
+                         open.push_back(exchange);
+                         exchange->onClosed([this] { ++closed; });
+                         if (answerAtOnce)
+                             exchange->respond({200, "{}", {}});
+                     })
+                     .value();
+        endpoint = {boost::asio::ip::address_v4::loopback(), server->port()};
+        client.emplace(context, timers, endpoint);
+    }
+
+    // Runs the event loop until the condition holds.
+    template <typename Condition>
+    void until(Condition condition)
+    {
+        for (int i = 0; i < 5'000 && !condition(); ++i)
+            context.run_one_for(1ms);
+        REQUIRE(condition());
+    }
+    HttpReply call(HttpCall request)
+    {
+        std::optional<HttpReply> reply;
+        client->call(std::move(request), [&](HttpReply got) { reply = std::move(got); });
+        until([&] { return reply.has_value(); });
+        return *reply;
+    }
+
+    boost::asio::io_context context;
+    TimerService timers{context};
+    std::unique_ptr<HttpServer> server;
+    Tcp::endpoint endpoint;
+    std::optional<HttpClient> client;
+    std::vector<HttpRequest> requests;
+    std::vector<std::shared_ptr<HttpExchange>> open;
+    int closed = 0;
+    bool answerAtOnce = true;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(HttpFixture, "a call is answered, and its connection serves the next one")
+{
+    for (int i = 0; i < 3; ++i) {
+        const HttpReply reply = call({"POST", "/a?b=c", "{\"x\":1}", {{"Request-Id", "r"}}, 2s});
+        CHECK(reply.answered(200));
+        CHECK(reply.body == "{}");
+    }
+    REQUIRE(requests.size() == 3);
+    CHECK(requests[0].target == "/a?b=c");
+    CHECK(requests[0].header("request-id") == "r");
+    CHECK(requests[0].body == "{\"x\":1}");
+    CHECK(server->openExchanges() == 0);
+}
+
+TEST_CASE_METHOD(HttpFixture, "a body beyond the limit is refused without the handler")
+{
+    CHECK(call({"POST", "/", std::string(2'000, 'x'), {}, 2s}).status == 413);
+    CHECK(requests.empty());
+}
+
+TEST_CASE_METHOD(HttpFixture, "bytes that are no request are refused and the connection is closed")
+{
+    Tcp::socket socket(context);
+    socket.connect(endpoint);
+    boost::asio::write(socket, boost::asio::buffer(std::string("no request at all\r\n\r\n")));
+    std::string received(256, '\0');
+    std::optional<std::size_t> length;
+    socket.async_read_some(
+        boost::asio::buffer(received),
+        [&](const boost::system::error_code &, std::size_t read) { length = read; });
+    until([&] { return length.has_value(); });
+    CHECK(received.starts_with("HTTP/1.1 400"));
+    CHECK(requests.empty());
+}
+
+TEST_CASE_METHOD(HttpFixture, "a client that leaves before its answer is noticed at once")
+{
+    answerAtOnce = false;
+    Tcp::socket socket(context);
+    socket.connect(endpoint);
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    until([&] { return requests.size() == 1; });
+    socket.close();
+    until([&] { return closed == 1; });
+    open[0]->respond({200, {}, {}});
+    CHECK(server->openExchanges() == 0);
+}
+
+TEST_CASE_METHOD(HttpFixture, "a call that was sent and not answered is not reported as not sent")
+{
+    answerAtOnce = false;
+    CHECK(call({"POST", "/", "{}", {}, 100ms}).end == HttpCallEnd::NoAnswer);
+}
+
+TEST_CASE_METHOD(HttpFixture, "a call without a listener was not sent")
+{
+    client.emplace(context, timers, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 1));
+    CHECK(call({"GET", "/", {}, {}, 2s}).end == HttpCallEnd::NotSent);
+}
+
+TEST_CASE_METHOD(HttpFixture, "while stopping, each response closes its connection")
+{
+    server->closeAfterResponse();
+    CHECK(call({"GET", "/", {}, {}, 2s}).answered(200));
+    CHECK(call({"GET", "/", {}, {}, 2s}).answered(200));
+    CHECK(server->idle());
+}
--- /dev/null
+++ b/tests/platform/storetest.cpp
@@ -0,0 +1,137 @@
+// Guards the following of the store's tables: changes arrive in order, a dropped history is read
+// anew, an outage is survived, and the configuration's version never falls.
+#include "platform/advertisement.h"
+#include "platform/documentrelay.h"
+#include "platform/tablewatch.h"
+#include "standins/platformstore.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace Bluebellquay;
+using namespace Bluebellquay::Platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+class StoreFixture
+{
+public:
+    StoreFixture()
+        : store(context, timers, 1)
+        , client(context, timers, {boost::asio::ip::address_v4::loopback(), store.port()})
+        , watch(client, timers, "op", [this](bool, const std::vector<StoreRow> &rows) {
+            for (const StoreRow &row : rows)
+                values[row.key] = row.value;
+        })
+    { }
+
+    template <typename Condition>
+    void until(Condition condition)
+    {
+        for (int i = 0; i < 8'000 && !condition(); ++i)
+            context.run_one_for(1ms);
+        REQUIRE(condition());
+    }
+
+    boost::asio::io_context context;
+    TimerService timers{context};
+    Testing::PlatformStore store;
+    StoreClient client;
+    TableWatch watch;
+    std::map<std::string, std::string> values;
+};
+
+ConfigDocument document(std::uint64_t version)
+{
+    return {ConfigVersion(version), {}, "text " + std::to_string(version)};
+}
+
+} // namespace
+
+TEST_CASE_METHOD(StoreFixture, "a table is read whole, then its changes arrive")
+{
+    store.put("op", "config", "one");
+    watch.start();
+    until([&] { return values["config"] == "one"; });
+    store.put("op", "config", std::string("two\0\xff", 5));
+    until([&] { return values["config"] == std::string("two\0\xff", 5); });
+    store.put("other", "config", "three");
+    store.put("op", "wave/1", "four");
+    until([&] { return values["wave/1"] == "four"; });
+    CHECK(values["config"] == std::string("two\0\xff", 5));
+}
+
+TEST_CASE_METHOD(StoreFixture, "a table is read anew when the store has dropped its history")
+{
+    store.put("op", "config", "one");
+    watch.start();
+    until([&] { return values["config"] == "one"; });
+    store.setMode(Testing::StoreMode::Refusing);
+    store.put("op", "config", "two");
+    store.put("op", "config", "three");
+    store.forgetHistory();
+    store.setMode(Testing::StoreMode::Serving);
+    store.put("op", "other", "x");
+    until([&] { return values["config"] == "three"; });
+}
+
+TEST_CASE_METHOD(StoreFixture, "an outage at the start is waited out")
+{
+    store.setMode(Testing::StoreMode::Refusing);
+    watch.start();
+    for (int i = 0; i < 300; ++i)
+        context.run_one_for(1ms);
+    CHECK_FALSE(watch.connected());
+    store.put("op", "config", "one");
+    store.setMode(Testing::StoreMode::Serving);
+    until([&] { return values["config"] == "one"; });
+}
+
+TEST_CASE_METHOD(StoreFixture, "an entry is advertised although the first answer is lost")
+{
+    ProcessInfo self;
+    self.name = "edge-1";
+    self.address = "127.0.0.1:7700";
+    Advertiser advertiser(client, timers, self);
+    store.setMode(Testing::StoreMode::Silent);
+    advertiser.start();
+    for (int i = 0; i < 100; ++i)
+        context.run_one_for(1ms);
+    store.setMode(Testing::StoreMode::Serving);
+    std::set<std::string> addresses;
+    EntryDirectory directory(
+        client, timers, [&](const std::string &address) { addresses.insert(address); },
+        [&](const std::string &address) { addresses.erase(address); });
+    directory.start();
+    until([&] { return addresses.contains("127.0.0.1:7700"); });
+}
+
+TEST_CASE("the version of the configuration never falls, and each newer one is asked for once")
+{
+    std::vector<Message> sent;
+    std::vector<std::uint64_t> taken;
+    DocumentRelay relay(
+        [&](const ConfigDocument &offered) {
+            taken.push_back(offered.version.value());
+            return true;
+        },
+        [&](Incarnation, const Message &message) { sent.push_back(message); });
+    CHECK(relay.offer(document(5)));
+    CHECK_FALSE(relay.offer(document(4)));
+    CHECK_FALSE(relay.offer(document(5)));
+    Heartbeat heartbeat;
+    heartbeat.configVersion = ConfigVersion(7);
+    relay.heard(Incarnation(1), heartbeat);
+    relay.heard(Incarnation(1), heartbeat);
+    REQUIRE(sent.size() == 1);
+    CHECK(std::get<ConfigRequest>(sent[0]).above == ConfigVersion(5));
+    relay.requested(Incarnation(2), ConfigRequest{ConfigVersion(3)});
+    REQUIRE(sent.size() == 2);
+    CHECK(std::get<ConfigDocument>(sent[1]).version == ConfigVersion(5));
+    relay.requested(Incarnation(2), ConfigRequest{ConfigVersion(5)});
+    CHECK(sent.size() == 2);
+    CHECK(taken == std::vector<std::uint64_t>{5});
+}
