--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -58,10 +58,10 @@
 
     const HttpServerSettings &settings() const { return m_settings; }
     TimePoint now() const { return m_timers.now(); }
-    void handle(const HttpRequest &request, std::shared_ptr<HttpExchange> exchange)
+    void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
     {
         if (m_handler)
-            m_handler(request, std::move(exchange));
+            m_handler(request, exchange);
     }
     void remove(Session *session) { m_sessions.erase(session); }
 
--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -68,7 +68,7 @@
     virtual void onClosed(std::function<void()> callback) = 0;
 };
 
-using HttpHandler = std::function<void(const HttpRequest &, std::shared_ptr<HttpExchange>)>;
+using HttpHandler = std::function<void(const HttpRequest &, const std::shared_ptr<HttpExchange> &)>;
 
 // Handlers run on the thread of the io_context.
 class HttpServer
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -23,15 +23,15 @@
         HttpServerSettings settings;
         settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
         settings.maxBodyBytes = 1'000;
-        server = HttpServer::create(
-                     context, timers, settings,
-                     [this](const HttpRequest &request, std::shared_ptr<HttpExchange> exchange) {
-                         requests.push_back(request);
-                         open.push_back(exchange);
-                         exchange->onClosed([this] { ++closed; });
-                         if (answerAtOnce)
-                             exchange->respond({200, "{}", {}});
-                     })
+        server = HttpServer::create(context, timers, settings,
+                                    [this](const HttpRequest &request,
+                                           const std::shared_ptr<HttpExchange> &exchange) {
+                                        requests.push_back(request);
+                                        open.push_back(exchange);
+                                        exchange->onClosed([this] { ++closed; });
+                                        if (answerAtOnce)
+                                            exchange->respond({200, "{}", {}});
+                                    })
                      .value();
         endpoint = {boost::asio::ip::address_v4::loopback(), server->port()};
         client.emplace(context, timers, endpoint);
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -118,6 +118,7 @@
 
 void PlatformSoak::startProcess(Process &process)
 {
+    process.stopping = false;
     process.child.emplace(process.command, m_settings.folder + '/' + process.name + ".log");
 }
 
@@ -276,6 +277,7 @@
         return;
     case 1:
         process.child->signal(SIGTERM);
+        process.stopping = true;
         // The platform kills it after the grace time and starts it again.
         process.next = m_timers.at(m_timers.now() + std::chrono::milliseconds(6'000),
                                    [this, &process](TimePoint) { startProcess(process); });
@@ -369,7 +371,7 @@
             process->relay->pass();
             process->next.cancel();
             process->child->signal(SIGCONT);
-            if (!process->child->running())
+            if (process->stopping || !process->child->running())
                 startProcess(*process);
         }
     }
--- a/tests/soak/platformsoak.h
+++ b/tests/soak/platformsoak.h
@@ -64,6 +64,8 @@
         unsigned short peerPort = 0;
         unsigned short otherPort = 0;
         std::shared_ptr<FaultRelay> relay;
+        // Was told to stop and is to be started again.
+        bool stopping = false;
         TimerSubscription next;
     };
     struct Job
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -50,11 +50,11 @@
 {
     HttpServerSettings settings;
     settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-    m_server = HttpServer::create(
-                   context, timers, settings,
-                   [this](const HttpRequest &request, std::shared_ptr<HttpExchange> exchange) {
-                       handle(request, exchange);
-                   })
+    m_server = HttpServer::create(context, timers, settings,
+                                  [this](const HttpRequest &request,
+                                         const std::shared_ptr<HttpExchange> &exchange) {
+                                      handle(request, exchange);
+                                  })
                    .value();
 }
 
--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -51,11 +51,11 @@
 {
     HttpServerSettings settings;
     settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-    m_server = HttpServer::create(
-                   context, timers, settings,
-                   [this](const HttpRequest &request, std::shared_ptr<HttpExchange> exchange) {
-                       handle(request, exchange);
-                   })
+    m_server = HttpServer::create(context, timers, settings,
+                                  [this](const HttpRequest &request,
+                                         const std::shared_ptr<HttpExchange> &exchange) {
+                                      handle(request, exchange);
+                                  })
                    .value();
     m_announcement = timers.every(AnnounceInterval, [this](TimePoint) { announce(); });
     m_leaseCheck = timers.every(LeaseCheckInterval, [this](TimePoint) {
