--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -74,6 +74,8 @@
     // Tasks by step.
     std::vector<std::vector<KeyedTask>> tasks;
     std::uint32_t ordersSent = 0;
+    // Meaningful once an order was sent.
+    TimePoint firstOrder{};
     // Runs that may be at an agent.
     std::uint32_t openRuns = 0;
     std::uint32_t tasksLeft = 0;
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -206,7 +206,8 @@
     // Numbers of a task rise; the job's counter keeps them apart from those of earlier runs.
     const std::uint64_t skipped = task.returned * ReturnedRunStep;
     task.run = RunNumber(std::max(task.run, job.lastRun).value() + 1 + skipped);
-    ++job.ordersSent;
+    if (job.ordersSent++ == 0)
+        job.firstOrder = now;
     ++job.openRuns;
     ++m_statistics.orders;
     m_runsAt[agent].insert(RunKey{ref.job, ref.step, ref.index, task.run});
@@ -360,6 +361,8 @@
     KeyedJob &job = m_jobs.at(ended.run.job);
     const TaskRef ref{ended.run.job, ended.run.step, ended.run.index};
     --job.openRuns;
+    if (ended.end != RunResult::Done && !job.released)
+        logRun(job, ended, agent);
     switch (ended.end) {
     case RunResult::Done: {
         ++m_statistics.runsDone;
@@ -613,9 +616,26 @@
                        [](const auto &item) { return item.second.linked && item.second.room; });
 }
 
+void RunDispatcher::logRun(const KeyedJob &job, const EndedRun &ended, Incarnation agent) const
+{
+    constexpr std::array<std::string_view, 6> Results = {"",        "done", "failed",
+                                                         "stopped", "lost", "not_started"};
+    const BoardEntry *entry = m_board.find(agent);
+    LogEvent(LogLevel::Info, "run_ended")
+        .field("job", keyText(job.spec.key))
+        .field("step", ended.run.step)
+        .field("task", ended.run.index)
+        .field("run", ended.run.run.value())
+        .field("result", Results[static_cast<std::size_t>(ended.end)])
+        .field("agent", entry != nullptr ? entry->agent.name : "")
+        .field("run_ms", ended.runTime.count() / 1000)
+        .field("expected_ms", expectedRunTime(job, ended.run.step).count() / 1000);
+}
+
 void RunDispatcher::log(const KeyedJob &job, const Answer &answer, TimePoint now) const
 {
-    if (answer.outcome == Outcome::Completed)
+    // What is completed in time needs no explanation.
+    if (answer.outcome == Outcome::Completed && now <= job.objective)
         return;
     LogEvent event(LogLevel::Info, "job_ended");
     event.field("job", keyText(job.spec.key))
@@ -623,6 +643,9 @@
         .field("outcome", toString(answer.outcome))
         .field("reason", toString(answer.reason))
         .field("age_ms", (now - job.arrived).count() / 1000)
+        .field("objective_ms", (job.objective - job.arrived).count() / 1000)
+        .field("first_order_ms",
+               job.ordersSent == 0 ? -1 : (job.firstOrder - job.arrived).count() / 1000)
         .field("tasks", taskCount(job.spec))
         .field("tasks_left", job.tasksLeft)
         .field("orders", job.ordersSent)
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -155,6 +155,7 @@
     // Processors times run time of all tasks, in thousandths of a processor times microseconds.
     double workOf(const KeyedJob &job) const;
     void log(const KeyedJob &job, const Answer &answer, TimePoint now) const;
+    void logRun(const KeyedJob &job, const EndedRun &ended, Incarnation agent) const;
 
     RunDispatcherSettings m_settings;
     RunDispatcherStatistics m_statistics;
--- a/source/kernel/log.cpp
+++ b/source/kernel/log.cpp
@@ -1,10 +1,12 @@
 #include "kernel/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include "kernel/logappender.h"
+
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <memory>
@@ -90,8 +92,7 @@
 {
     static log4cplus::Initializer initializer;
     processName() = process;
-    // Arguments: not to standard error, flush each line, so that a killed process loses none.
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+    log4cplus::SharedAppenderPtr appender(new LogAppender(STDOUT_FILENO));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         LOG4CPLUS_TEXT("time=%D{%Y-%m-%dT%H:%M:%S.%qZ} %m%n")));
     logger().removeAllAppenders();
--- /dev/null
+++ b/source/kernel/logappender.h
@@ -0,0 +1,43 @@
+// Writes log lines to standard output without ever waiting for the reader. Lines beyond a rate, and
+// lines for which a pipe has no space, are dropped and counted; the count is told with the next
+// line.
+#pragma once
+
+#include <log4cplus/appender.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace Bluebellquay {
+
+class LogAppender : public log4cplus::Appender
+{
+public:
+    // Lines a second, in the long run and at once.
+    static constexpr double LinesPerSecond = 300;
+    static constexpr double Burst = 600;
+
+    explicit LogAppender(int descriptor);
+    ~LogAppender() override;
+
+    void close() override { closed = true; }
+    std::uint64_t dropped() const { return m_dropped; }
+
+protected:
+    // The name is that of log4cplus.
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override;
+
+private:
+    bool admit();
+    bool write(const std::string &line);
+
+    int m_descriptor;
+    double m_tokens = Burst;
+    std::chrono::steady_clock::time_point m_refilled;
+    // Since the last line that was written, and in all.
+    std::uint64_t m_droppedSince = 0;
+    std::uint64_t m_dropped = 0;
+};
+
+} // namespace Bluebellquay
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -235,9 +235,12 @@
         }
         return;
     }
-    job->resubmission = m_timers.at(m_timers.now() + Resubmission, [this, job, entry](TimePoint) {
-        submit(job, (entry + 1) % m_entries.size());
-    });
+    // The timer must not keep the job, which owns the timer's subscription, alive.
+    job->resubmission = m_timers.at(m_timers.now() + Resubmission,
+                                    [this, weak = std::weak_ptr(job), entry](TimePoint) {
+                                        if (const auto waiting = weak.lock())
+                                            submit(waiting, (entry + 1) % m_entries.size());
+                                    });
 }
 
 void PlatformSoak::injectNext()
