Take short bursts in instead of refusing them

Change: late jobs are refused only while a queue stands, that is, has not been empty for 250 ms; those that are kept are looked at again every 100 ms.

--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -21,6 +21,10 @@
 constexpr std::uint64_t ReturnedRunStep = 32;
 constexpr Duration ShortestRetryAfter{1'000'000};
 constexpr Duration LongestRetryAfter{10'000'000};
+// A queue that has not been empty for this long is overload, not a burst.
+constexpr Duration StandingQueue{250'000};
+// Between two looks at whether a late job can still be served.
+constexpr Duration LateCheckInterval{100'000};
 // Longer than any job waits.
 constexpr Duration LongestWait{60'000'000};
 
@@ -103,6 +107,8 @@
     job.latestStart =
         job.arrived + std::chrono::duration_cast<Duration>(spare * m_settings.waitingShare);
     job.rank = m_settings.order.rank(now, job);
+    if (m_ready.empty())
+        m_lastEmpty = now;
     m_arrivals.add(now, workOf(job));
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
@@ -192,6 +198,8 @@
         m_ready.erase(current);
         order(now, job, ref, *agent, batches);
     }
+    if (m_ready.empty())
+        m_lastEmpty = now;
     for (auto &[target, message] : batches)
         out.messages.emplace_back(std::get<Incarnation>(target), std::move(message));
 }
@@ -564,13 +572,16 @@
     job.rank = m_settings.order.rank(now, job);
     const Duration objective = job.objective - job.arrived;
     const TimePoint useless = std::min(job.arrived + objective * UsefulLateness, job.deadline);
-    // Whoever can hardly be served any more is told so now, not when it is certain.
-    if (now + expectedWait(now, job) + expectedChain(job) > useless) {
+    // Whoever can hardly be served any more is told so now, not when it is certain. A queue that was
+    // empty a moment ago is a short burst, which the workers take in.
+    const bool standingQueue = now - m_lastEmpty >= StandingQueue;
+    if (standingQueue && now + expectedWait(now, job) + expectedChain(job) > useless) {
         finish(now, job, refusal(now, job, Reason::Overload), out);
         return closeIfOver(now, key, out);
     }
     for (const TaskRef &ref : waiting)
         makeReady(job, ref.step, ref.index);
+    m_timers.schedule(now + LateCheckInterval, Timer{TimerKind::Late, {key, 0, 0}, {}});
 }
 
 Duration RunDispatcher::expectedWait(TimePoint now, const KeyedJob &job) const
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -168,6 +168,8 @@
     std::unordered_map<CallId, JobKey> m_calls;
     // Tasks that wait for a worker, in the order in which they should start.
     std::set<std::pair<TimePoint, TaskRef>> m_ready;
+    // When no task waited for a worker.
+    TimePoint m_lastEmpty{};
     // Runs that may be at an agent.
     std::map<Incarnation, std::set<RunKey>> m_runsAt;
     TimerHeap<Timer> m_timers;
--- a/tests/dispatch/heavyloadtest.cpp
+++ b/tests/dispatch/heavyloadtest.cpp
@@ -83,6 +83,23 @@
     CHECK(site.violations().empty());
 }
 
+// Seen on hinokuni-archive, trouble-2: jobs were refused while hardly anything waited, because one
+// entry had more than its share of the arrivals.
+TEST_CASE("a short burst at one entry is taken in, not refused")
+{
+    KeyedSite site(KeyedSiteSettings{});
+    load(site, 4, 0.4, 1s);
+    const std::size_t before = site.ends().size();
+    // Three times the work that fits at once, from one entry.
+    for (int i = 0; i < 60; ++i)
+        site.submit(0, 2, task(), RunTime * 2, 2s);
+    site.run(3s);
+    std::size_t done = 0;
+    for (const auto &[job, end] : site.ends())
+        done += end.answered && end.answer.outcome == Outcome::Completed ? 1 : 0;
+    CHECK(done == before + 60);
+}
+
 TEST_CASE("a worker that stands still is left out within a few run times")
 {
     KeyedSite site(KeyedSiteSettings{});
