--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -572,8 +572,8 @@
     job.rank = m_settings.order.rank(now, job);
     const Duration objective = job.objective - job.arrived;
     const TimePoint useless = std::min(job.arrived + objective * UsefulLateness, job.deadline);
-    // Whoever can hardly be served any more is told so now, not when it is certain. A queue that was
-    // empty a moment ago is a short burst, which the workers take in.
+    // Whoever can hardly be served any more is told so now, not when it is certain. A queue that
+    // was empty a moment ago is a short burst, which the workers take in.
     const bool standingQueue = now - m_lastEmpty >= StandingQueue;
     if (standingQueue && now + expectedWait(now, job) + expectedChain(job) > useless) {
         finish(now, job, refusal(now, job, Reason::Overload), out);
