--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -90,11 +90,11 @@
         return;
     }
     m_calls[call] = job.spec.key;
-    open(now, std::move(job), out);
+    open(now, std::move(job));
     dispatch(now, out);
 }
 
-void RunDispatcher::open(TimePoint now, KeyedJob opened, DispatchOutbox &)
+void RunDispatcher::open(TimePoint now, KeyedJob opened)
 {
     const JobKey key = opened.spec.key;
     KeyedJob &job = m_jobs[key];
@@ -113,7 +113,7 @@
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
-    unblockSteps(now, job);
+    unblockSteps(job);
     const TimePoint useless = job.arrived + objective * UsefulLateness;
     const TimePoint hopeless = std::min(useless, job.deadline) - chain;
     m_timers.schedule(job.latestStart, Timer{TimerKind::Late, {key, 0, 0}, {}});
@@ -154,7 +154,7 @@
     return work;
 }
 
-void RunDispatcher::unblockSteps(TimePoint, KeyedJob &job)
+void RunDispatcher::unblockSteps(KeyedJob &job)
 {
     const auto done = [&](std::uint32_t step) {
         return std::all_of(job.tasks[step].begin(), job.tasks[step].end(),
@@ -249,7 +249,7 @@
     if (!job.calls.empty() || job.released)
         return;
     ++m_statistics.jobsAbandoned;
-    release(now, job, out);
+    release(job, out);
     closeIfOver(now, key, out);
     dispatch(now, out);
 }
@@ -413,7 +413,7 @@
         answer.outcome = Outcome::Completed;
         finish(now, job, answer, out);
     } else if (!job.released) {
-        unblockSteps(now, job);
+        unblockSteps(job);
     }
     closeIfOver(now, ref.job, out);
 }
@@ -456,10 +456,10 @@
         out.answers.push_back({call, answer});
     }
     job.calls.clear();
-    release(now, job, out);
+    release(job, out);
 }
 
-void RunDispatcher::release(TimePoint, KeyedJob &job, DispatchOutbox &out)
+void RunDispatcher::release(KeyedJob &job, DispatchOutbox &out)
 {
     job.released = true;
     std::map<Incarnation, StopRuns> stops;
@@ -503,7 +503,7 @@
     successor.arrived = next->arrived;
     successor.deadline = next->deadline;
     successor.lastRun = RunNumber(highest);
-    open(now, std::move(successor), out);
+    open(now, std::move(successor));
 }
 
 void RunDispatcher::advance(TimePoint now, DispatchOutbox &out)
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -133,8 +133,8 @@
     KeyedTask *findTask(const RunKey &run, Incarnation agent);
     Duration expectedRunTime(const KeyedJob &job, std::uint32_t step) const;
     Duration expectedChain(const KeyedJob &job) const;
-    void open(TimePoint now, KeyedJob job, DispatchOutbox &out);
-    void unblockSteps(TimePoint now, KeyedJob &job);
+    void open(TimePoint now, KeyedJob job);
+    void unblockSteps(KeyedJob &job);
     void makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index);
     void dispatch(TimePoint now, DispatchOutbox &out);
     void order(TimePoint now, KeyedJob &job, const TaskRef &ref, Incarnation agent,
@@ -143,7 +143,7 @@
     void retryTask(TimePoint now, KeyedJob &job, const TaskRef &ref, Duration delay);
     void finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out);
     // Stops what runs; the record goes when the last run has ended.
-    void release(TimePoint now, KeyedJob &job, DispatchOutbox &out);
+    void release(KeyedJob &job, DispatchOutbox &out);
     void closeIfOver(TimePoint now, JobKey key, DispatchOutbox &out);
     void agentGone(TimePoint now, Incarnation agent, DispatchOutbox &out);
     // The job can't be done in time any more and has not begun.
--- a/source/core/runledger.cpp
+++ b/source/core/runledger.cpp
@@ -102,7 +102,7 @@
         if (running.contains(current->first))
             continue;
         if (run.state == RunState::Ordered && account.askedAt >= run.started + OrderSettlesWithin)
-            requestStop(now, current->first, run, out);
+            requestStop(current->first, run, out);
         // The worker lists a run as running until it lists its end. So a run that is not listed
         // after its stop was confirmed has ended before or was never started.
         const bool stopped = run.stopConfirmed && account.askedAt >= *run.stopConfirmed;
@@ -137,7 +137,7 @@
     case StartAnswer::NoAnswer:
         ++m_statistics.startsUnanswered;
         if (run.state == RunState::Ordered)
-            requestStop(now, key, run, out);
+            requestStop(key, run, out);
         return;
     case StartAnswer::Unhealthy:
         suspend(now, "unhealthy", out);
@@ -151,7 +151,7 @@
     reportRooms(now, out);
 }
 
-void RunLedger::stopAnswered(TimePoint now, const RunKey &key, bool answered, RunOutbox &)
+void RunLedger::stopAnswered(TimePoint now, const RunKey &key, bool answered)
 {
     const auto position = m_runs.find(key);
     if (position == m_runs.end() || position->second.state != RunState::Stopping)
@@ -207,7 +207,7 @@
         if (position->second.state == RunState::Waiting)
             end(now, position, RunResult::NotStarted, out);
         else
-            requestStop(now, key, position->second, out);
+            requestStop(key, position->second, out);
     }
     startWaiting(now, out);
     reportRooms(now, out);
@@ -240,7 +240,7 @@
         if (current->second.state == RunState::Waiting)
             end(now, current, RunResult::NotStarted, out);
         else
-            requestStop(now, current->first, current->second, out);
+            requestStop(current->first, current->second, out);
     }
     startWaiting(now, out);
     reportRooms(now, out);
@@ -360,7 +360,7 @@
     run.confirmed = now;
 }
 
-void RunLedger::requestStop(TimePoint, const RunKey &key, Run &run, RunOutbox &out)
+void RunLedger::requestStop(const RunKey &key, Run &run, RunOutbox &out)
 {
     if (run.state == RunState::Stopping)
         return;
@@ -470,7 +470,7 @@
     suspend(now, "standstill", out);
     for (auto &[key, run] : m_runs) {
         if (run.state == RunState::Running)
-            requestStop(now, key, run, out);
+            requestStop(key, run, out);
     }
 }
 
@@ -505,7 +505,7 @@
         else if (run.listed || run.home == Incarnation())
             end(now, current, RunResult::Lost, out);
         else
-            requestStop(now, current->first, run, out);
+            requestStop(current->first, run, out);
     }
 }
 
@@ -521,7 +521,7 @@
     if (!inserted)
         return;
     ++m_foreignRuns;
-    requestStop(now, key, position->second, out);
+    requestStop(key, position->second, out);
 }
 
 void RunLedger::reportRooms(TimePoint now, RunOutbox &out)
--- a/source/core/runledger.h
+++ b/source/core/runledger.h
@@ -70,7 +70,7 @@
     void leaseExpired(TimePoint now, RunOutbox &out);
     void accountReceived(TimePoint now, const WorkerAccount &account, RunOutbox &out);
     void startAnswered(TimePoint now, const RunKey &run, StartAnswer answer, RunOutbox &out);
-    void stopAnswered(TimePoint now, const RunKey &run, bool answered, RunOutbox &out);
+    void stopAnswered(TimePoint now, const RunKey &run, bool answered);
 
     void homeUp(Incarnation home);
     void handle(TimePoint now, Incarnation home, const StartRuns &message, RunOutbox &out);
@@ -140,7 +140,7 @@
     void startWaiting(TimePoint now, RunOutbox &out);
     void start(TimePoint now, Runs::iterator position, RunOutbox &out);
     static void confirm(TimePoint now, Run &run);
-    void requestStop(TimePoint now, const RunKey &key, Run &run, RunOutbox &out);
+    void requestStop(const RunKey &key, Run &run, RunOutbox &out);
     void end(TimePoint now, Runs::iterator position, RunResult how, RunOutbox &out);
     void endAll(TimePoint now, RunOutbox &out);
     void returnWaiting(TimePoint now, RunOutbox &out);
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -228,8 +228,8 @@
         const auto report = [this, index, life, answered, run = stop.run](bool reached) {
             if (m_agents[index]->life != life || std::exchange(*answered, true))
                 return;
-            driveAgent(index, [&](RunLedger &ledger, RunOutbox &effects) {
-                ledger.stopAnswered(m_clock.now(), run, reached, effects);
+            driveAgent(index, [&](RunLedger &ledger, RunOutbox &) {
+                ledger.stopAnswered(m_clock.now(), run, reached);
             });
             if (reached)
                 look(index, life);
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -119,7 +119,7 @@
     CHECK(ends().empty());
     CHECK(ledger.freeRoom().milliProcessors == 24'000);
     pass(5ms);
-    ledger.stopAnswered(now, key(0), true, out);
+    ledger.stopAnswered(now, key(0), true);
     pass(1ms);
     account({}, {});
     REQUIRE(ends().size() == 1);
@@ -133,7 +133,7 @@
     const TimePoint asked = now;
     ledger.startAnswered(now, key(0), StartAnswer::NoAnswer, out);
     pass(5ms);
-    ledger.stopAnswered(now, key(0), true, out);
+    ledger.stopAnswered(now, key(0), true);
     clear();
     account({}, {}, asked);
     CHECK(ends().empty());
@@ -143,7 +143,7 @@
 {
     order(0, 40'000);
     ledger.startAnswered(now, key(0), StartAnswer::NoAnswer, out);
-    ledger.stopAnswered(now, key(0), false, out);
+    ledger.stopAnswered(now, key(0), false);
     clear();
     pass(100ms);
     ledger.advance(now, out);
