--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -88,7 +88,7 @@
     // Another entry asks, for a caller that cancels, or for itself.
     void handle(TimePoint now, Incarnation entry, const ReleaseJob &message, DispatchOutbox &out);
     // Cancels the job if this is its home; returns whether it is.
-    bool cancel(TimePoint now, JobKey job, DispatchOutbox &out);
+    bool cancel(TimePoint now, JobKey key, DispatchOutbox &out);
     // The process stops at this time: jobs that can't be done by then are refused.
     void beginStop(TimePoint end) { m_end = end; }
     // Ends every job with "unknown": the process has been suspended for so long that its agents
@@ -133,7 +133,7 @@
     KeyedTask *findTask(const RunKey &run, Incarnation agent);
     Duration expectedRunTime(const KeyedJob &job, std::uint32_t step) const;
     Duration expectedChain(const KeyedJob &job) const;
-    void open(TimePoint now, KeyedJob job);
+    void open(TimePoint now, KeyedJob opened);
     void unblockSteps(KeyedJob &job);
     void makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index);
     void dispatch(TimePoint now, DispatchOutbox &out);
--- a/source/core/runledger.h
+++ b/source/core/runledger.h
@@ -69,8 +69,8 @@
     // No call has reached the worker for so long that its lease has run out.
     void leaseExpired(TimePoint now, RunOutbox &out);
     void accountReceived(TimePoint now, const WorkerAccount &account, RunOutbox &out);
-    void startAnswered(TimePoint now, const RunKey &run, StartAnswer answer, RunOutbox &out);
-    void stopAnswered(TimePoint now, const RunKey &run, bool answered);
+    void startAnswered(TimePoint now, const RunKey &key, StartAnswer answer, RunOutbox &out);
+    void stopAnswered(TimePoint now, const RunKey &key, bool answered);
 
     void homeUp(Incarnation home);
     void handle(TimePoint now, Incarnation home, const StartRuns &message, RunOutbox &out);
