--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -53,11 +53,11 @@
     JobKey submit(std::size_t entry, std::uint32_t tasks, const ModelTask &task, Duration declared,
                   Duration timeout);
     void leave(JobKey job);
-    void killEntry(std::size_t entry, Duration down);
-    void killAgent(std::size_t agent, Duration down);
+    void killEntry(std::size_t index, Duration down);
+    void killAgent(std::size_t index, Duration down);
     void cut(std::size_t entry, std::size_t agent, Duration span);
     void standStill(std::size_t agent, Duration span);
-    void crashWorker(std::size_t agent);
+    void crashWorker(std::size_t index);
     void run(Duration span);
 
     const std::map<JobKey, CallerEnd> &ends() const { return m_ends; }
@@ -72,15 +72,15 @@
 
     void sendToAgent(std::size_t entry, Incarnation to, Message message);
     void sendToEntry(std::size_t agent, Incarnation to, Message message);
-    void driveEntry(std::size_t entry,
+    void driveEntry(std::size_t index,
                     const std::function<void(RunDispatcher &, DispatchOutbox &)> &call);
-    void driveAgent(std::size_t agent, const std::function<void(RunLedger &, RunOutbox &)> &call);
-    void startEntry(std::size_t entry);
-    void startAgent(std::size_t agent);
+    void driveAgent(std::size_t index, const std::function<void(RunLedger &, RunOutbox &)> &call);
+    void startEntry(std::size_t index);
+    void startAgent(std::size_t index);
     // As platform/workerclient.cpp renews leases and looks for lost orders.
-    void hold(std::size_t agent, std::uint64_t life, std::size_t slot);
-    void reissueOvertaken(std::size_t agent, std::size_t reporter);
-    void look(std::size_t agent, std::uint64_t life);
+    void hold(std::size_t index, std::uint64_t life, std::size_t slot);
+    void reissueOvertaken(std::size_t index, std::size_t reporter);
+    void look(std::size_t index, std::uint64_t life);
     void linkUp(std::size_t entry, std::size_t agent);
     void linkDown(std::size_t entry, std::size_t agent);
     void relinkLater(std::size_t entry, std::size_t agent);
