--- a/tests/dispatch/modelworker.cpp
+++ b/tests/dispatch/modelworker.cpp
@@ -54,7 +54,7 @@
     , m_settings(std::move(settings))
 { }
 
-void ModelWorker::deliver(std::function<void()> call, std::function<void()> answer)
+void ModelWorker::deliver(const std::function<void()> &call, const std::function<void()> &answer)
 {
     std::uniform_real_distribution<double> chance(0, 1);
     const std::uint64_t life = m_bornMs;
@@ -81,7 +81,7 @@
 }
 
 void ModelWorker::start(const RunKey &run, std::uint64_t token,
-                        std::function<void(StartAnswer)> answer)
+                        const std::function<void(StartAnswer)> &answer)
 {
     auto result = std::make_shared<StartAnswer>(StartAnswer::Refused);
     const TimePoint deadline = m_clock.now() + m_settings.lease;
@@ -125,7 +125,8 @@
     });
 }
 
-void ModelWorker::stop(const RunKey &run, std::uint64_t token, std::function<void(bool)> answer)
+void ModelWorker::stop(const RunKey &run, std::uint64_t token,
+                       const std::function<void(bool)> &answer)
 {
     deliver(
         [this, run, token] {
@@ -148,7 +149,7 @@
 }
 
 void ModelWorker::hold(std::uint64_t lastSeen, std::uint64_t token, Duration wait,
-                       std::function<void(const WorkerAccount &, std::uint64_t)> answer)
+                       const std::function<void(const WorkerAccount &, std::uint64_t)> &answer)
 {
     const TimePoint askedAt = m_clock.now();
     deliver(
--- a/tests/dispatch/modelworker.h
+++ b/tests/dispatch/modelworker.h
@@ -65,11 +65,12 @@
                 ModelWorkerSettings settings);
 
     // Calls of the agent. The answer comes back through the callback, or never.
-    void start(const RunKey &run, std::uint64_t token, std::function<void(StartAnswer)> answer);
-    void stop(const RunKey &run, std::uint64_t token, std::function<void(bool)> answer);
+    void start(const RunKey &run, std::uint64_t token,
+               const std::function<void(StartAnswer)> &answer);
+    void stop(const RunKey &run, std::uint64_t token, const std::function<void(bool)> &answer);
     // Renews the lease and answers at the next end or after the wait.
     void hold(std::uint64_t lastSeen, std::uint64_t token, Duration wait,
-              std::function<void(const WorkerAccount &, std::uint64_t lastEnd)> answer);
+              const std::function<void(const WorkerAccount &, std::uint64_t lastEnd)> &answer);
 
     void standStill(bool still);
     void crash();
@@ -97,7 +98,7 @@
     };
 
     // Runs the call after the way to the worker; it may be lost or late.
-    void deliver(std::function<void()> call, std::function<void()> answer);
+    void deliver(const std::function<void()> &call, const std::function<void()> &answer);
     StartAnswer carryOutStart(const RunKey &run, std::uint64_t token, TimePoint deadline);
     void scheduleEnd(const RunKey &run);
     void end(const RunKey &run, RunResult how);
--- a/tests/platform/platformsettingstest.cpp
+++ b/tests/platform/platformsettingstest.cpp
@@ -35,8 +35,12 @@
                                                        {"listenAddrs.front", "10.1.0.13:8161"},
                                                        {"listenAddrs.ready", "10.1.0.13:8167"},
                                                        {"listenAddrs.control", "10.1.0.13:8166"}};
-    for (const auto &[name, value] : values)
-        text = replaced(text, "{{" + name + "}}", value);
+    for (const auto &[name, value] : values) {
+        std::string placeholder = "{{";
+        placeholder += name;
+        placeholder += "}}";
+        text = replaced(text, placeholder, value);
+    }
     return text;
 }
 
