--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -32,6 +32,9 @@
     std::vector<KeyedStep> steps;
 };
 
+// Sixteen lower-case hexadecimal digits, as callers write the key.
+std::string jobKeyText(JobKey key);
+
 // Number of tasks of all steps.
 std::size_t taskCount(const KeyedJobSpec &job);
 
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -28,26 +28,8 @@
 // Longer than any job waits.
 constexpr Duration LongestWait{60'000'000};
 
-std::string keyText(JobKey key)
-{
-    constexpr std::string_view Digits = "0123456789abcdef";
-    constexpr int Width = 16;
-    std::string text(Width, '0');
-    for (int i = 0; i < Width; ++i)
-        text[static_cast<std::size_t>(Width - 1 - i)] = Digits[(key.value() >> (4 * i)) & 0xf];
-    return text;
-}
-
 } // namespace
 
-std::size_t taskCount(const KeyedJobSpec &job)
-{
-    std::size_t count = 0;
-    for (const KeyedStep &step : job.steps)
-        count += step.tasks;
-    return count;
-}
-
 RunDispatcher::RunDispatcher(RunDispatcherSettings settings)
     : m_settings(std::move(settings))
 { }
@@ -633,7 +615,7 @@
                                                          "stopped", "lost", "not_started"};
     const BoardEntry *entry = m_board.find(agent);
     LogEvent(LogLevel::Info, "run_ended")
-        .field("job", keyText(job.spec.key))
+        .field("job", jobKeyText(job.spec.key))
         .field("step", ended.run.step)
         .field("task", ended.run.index)
         .field("run", ended.run.run.value())
@@ -649,7 +631,7 @@
     if (answer.outcome == Outcome::Completed && now <= job.objective)
         return;
     LogEvent event(LogLevel::Info, "job_ended");
-    event.field("job", keyText(job.spec.key))
+    event.field("job", jobKeyText(job.spec.key))
         .field("queue", job.rule.name)
         .field("outcome", toString(answer.outcome))
         .field("reason", toString(answer.reason))
