Bound the reports of free room for each agent; forecast, overload rule and log lines get their own sources

A standing queue of alike tasks was tried on every worker for each of them. The forecast built two strings for each look at a task's run time. Change: core/roomreports tells a home at once when its own run ended or the worker starts or stops taking orders, others after an interval that grows with the number of homes. Needs as large as one that found no worker are ruled out for the turn. The forecast of a job is made once, on arrival. Callers that are refused together are told different times to come back; load is counted by service.

--- /dev/null
+++ b/source/core/dispatchlog.cpp
@@ -0,0 +1,54 @@
+#include "core/dispatchlog.h"
+
+#include "kernel/log.h"
+
+#include <array>
+
+namespace Bluebellquay {
+
+namespace {
+
+constexpr Duration OneMillisecond{1'000};
+
+} // namespace
+
+void logRunEnded(const KeyedJob &job, const EndedRun &ended, std::string_view agent)
+{
+    constexpr std::array<std::string_view, 6> Results = {"",        "done", "failed",
+                                                         "stopped", "lost", "not_started"};
+    LogEvent(LogLevel::Info, "run_ended")
+        .field("job", jobKeyText(job.spec.key))
+        .field("step", ended.run.step)
+        .field("task", ended.run.index)
+        .field("run", ended.run.run.value())
+        .field("result", Results[static_cast<std::size_t>(ended.end)])
+        .field("agent", agent)
+        .field("run_ms", ended.runTime / OneMillisecond)
+        .field("expected_ms", job.outlook.runTimes[ended.run.step] / OneMillisecond);
+}
+
+void logJobEnded(const KeyedJob &job, const Answer &answer, TimePoint now, std::size_t waitingTasks,
+                 std::size_t agents)
+{
+    // What is completed in time needs no explanation.
+    if (answer.outcome == Outcome::Completed && now <= job.objective)
+        return;
+    LogEvent event(LogLevel::Info, "job_ended");
+    event.field("job", jobKeyText(job.spec.key))
+        .field("queue", job.rule.name)
+        .field("outcome", toString(answer.outcome))
+        .field("reason", toString(answer.reason))
+        .field("age_ms", (now - job.arrived) / OneMillisecond)
+        .field("objective_ms", (job.objective - job.arrived) / OneMillisecond)
+        .field("first_order_ms",
+               job.ordersSent == 0 ? -1 : (job.firstOrder - job.arrived) / OneMillisecond)
+        .field("tasks", taskCount(job.spec))
+        .field("tasks_left", job.tasksLeft)
+        .field("orders", job.ordersSent)
+        .field("waiting_tasks", waitingTasks)
+        .field("agents", agents);
+    if (answer.retryAfter)
+        event.field("retry_after_ms", *answer.retryAfter / OneMillisecond);
+}
+
+} // namespace Bluebellquay
--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -59,10 +59,28 @@
     Incarnation avoided;
 };
 
+// Forecast of a job as of its arrival.
+struct JobOutlook
+{
+    // Of one task, by step.
+    std::vector<Duration> runTimes;
+    // Longest chain of steps.
+    Duration chain{0};
+    // Of all tasks: processors times run time, in thousandths of a processor times microseconds.
+    double work = 0;
+
+    static double workOfTask(const KeyedStep &step, Duration runTime)
+    {
+        return static_cast<double>(step.need.milliProcessors)
+            * static_cast<double>(runTime.count());
+    }
+};
+
 struct KeyedJob
 {
     KeyedJobSpec spec;
     QueueRule rule;
+    JobOutlook outlook;
     // Calls that wait for the answer; empty once the job is released.
     std::vector<CallId> calls;
     TimePoint arrived;
--- /dev/null
+++ b/source/core/roomreports.cpp
@@ -0,0 +1,66 @@
+#include "core/roomreports.h"
+
+#include <algorithm>
+
+namespace Bluebellquay {
+
+void RoomReports::orderReceived(Incarnation home, OrderNumber order)
+{
+    Home &sender = m_homes[home];
+    sender.lastOrder = std::max(sender.lastOrder, order);
+    sender.outdated = true;
+}
+
+void RoomReports::changed(TimePoint now, const WorkerRoom &room,
+                          const std::set<Incarnation> &writtenTo, Messages &messages)
+{
+    const bool news = !(room == m_latest);
+    m_latest = room;
+    for (auto &[incarnation, home] : m_homes) {
+        const bool otherState = home.toldAccepting != room.accepting
+            || home.toldProbation != room.probation || home.toldSettled != room.settled;
+        home.outdated = home.outdated || news;
+        const bool turn = writtenTo.contains(incarnation) || now >= home.toldAt + interval();
+        if (otherState || (home.outdated && turn))
+            tell(now, incarnation, home, room, messages);
+    }
+}
+
+void RoomReports::tell(TimePoint now, Incarnation home, const WorkerRoom &room, Messages &messages)
+{
+    tell(now, home, m_homes[home], room, messages);
+}
+
+void RoomReports::tellDue(TimePoint now, const WorkerRoom &room, Messages &messages)
+{
+    for (auto &[incarnation, home] : m_homes) {
+        if (home.outdated && now >= home.toldAt + interval())
+            tell(now, incarnation, home, room, messages);
+    }
+}
+
+std::optional<TimePoint> RoomReports::nextDue() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[incarnation, home] : m_homes) {
+        if (home.outdated)
+            next = std::min(next.value_or(TimePoint::max()), home.toldAt + interval());
+    }
+    return next;
+}
+
+void RoomReports::tell(TimePoint now, Incarnation incarnation, Home &home, const WorkerRoom &room,
+                       Messages &messages)
+{
+    home.toldAt = now;
+    home.outdated = false;
+    home.toldAccepting = room.accepting;
+    home.toldProbation = room.probation;
+    home.toldSettled = room.settled;
+    WorkerRoom report = room;
+    report.sequence = ++m_sequence;
+    report.lastOrder = home.lastOrder;
+    messages.emplace_back(incarnation, std::move(report));
+}
+
+} // namespace Bluebellquay
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -1,9 +1,8 @@
 #include "core/rundispatcher.h"
 
-#include "kernel/log.h"
-
+#include "core/dispatchlog.h"
+#include "core/unplacedneeds.h"
 #include <algorithm>
-#include <array>
 
 namespace Bluebellquay {
 
@@ -13,20 +12,13 @@
 constexpr int LookAhead = 24;
 // A job that is done within this multiple of its objective is still of use to its caller.
 constexpr int UsefulLateness = 3;
-constexpr Duration DeclaredUnit{1'000'000};
 // The first retry of a returned order, doubled with each further one.
 constexpr Duration FirstReturnDelay{2'000};
 constexpr unsigned LongestReturnDelayShift = 6;
 // Run numbers skipped after a returned order: the worker may know higher ones from an earlier home.
 constexpr std::uint64_t ReturnedRunStep = 32;
-constexpr Duration ShortestRetryAfter{1'000'000};
-constexpr Duration LongestRetryAfter{10'000'000};
-// A queue that has not been empty for this long is overload, not a burst.
-constexpr Duration StandingQueue{250'000};
 // Between two looks at whether a late job can still be served.
 constexpr Duration LateCheckInterval{100'000};
-// Longer than any job waits.
-constexpr Duration LongestWait{60'000'000};
 
 } // namespace
 
@@ -61,12 +53,13 @@
     job.arrived = now;
     job.deadline = deadline;
     job.lastRun = firstRun;
+    m_forecast.apply(job);
     if (m_jobs.size() >= m_settings.maxJobs) {
         ++m_statistics.jobsRefused;
         out.answers.push_back({call, refusal(now, job, Reason::Overload)});
         return;
     }
-    if (m_end && now + expectedChain(job) > *m_end) {
+    if (m_end && now + job.outlook.chain > *m_end) {
         ++m_statistics.jobsRefused;
         out.answers.push_back({call, refusal(now, job, Reason::Stopping)});
         return;
@@ -81,7 +74,7 @@
     const JobKey key = opened.spec.key;
     KeyedJob &job = m_jobs[key];
     job = std::move(opened);
-    const Duration chain = expectedChain(job);
+    const Duration chain = job.outlook.chain;
     const auto slack = std::chrono::duration_cast<Duration>(chain * job.rule.slackFactor);
     const Duration objective = slack + job.rule.allowance;
     job.objective = job.arrived + objective;
@@ -91,7 +84,7 @@
     job.rank = m_settings.order.rank(now, job);
     if (m_ready.empty())
         m_lastEmpty = now;
-    m_arrivals.add(now, workOf(job));
+    m_arrivals[job.rule.service].add(now, job.outlook.work);
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
@@ -103,39 +96,6 @@
     m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
 }
 
-Duration RunDispatcher::expectedRunTime(const KeyedJob &job, std::uint32_t step) const
-{
-    const Duration declared = job.spec.steps[step].declaredRunTime;
-    const Duration ratio = m_ratios.expected(job.rule.name, {}, DeclaredUnit);
-    const double factor =
-        static_cast<double>(ratio.count()) / static_cast<double>(DeclaredUnit.count());
-    return std::chrono::duration_cast<Duration>(declared * factor);
-}
-
-Duration RunDispatcher::expectedChain(const KeyedJob &job) const
-{
-    std::vector<Duration> ends;
-    Duration longest{0};
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-        Duration begin{0};
-        for (const std::uint32_t earlier : job.spec.steps[step].after)
-            begin = std::max(begin, ends[earlier]);
-        ends.push_back(begin + expectedRunTime(job, step));
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
-double RunDispatcher::workOf(const KeyedJob &job) const
-{
-    double work = 0;
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step)
-        work += static_cast<double>(job.spec.steps[step].tasks)
-            * static_cast<double>(job.spec.steps[step].need.milliProcessors)
-            * static_cast<double>(expectedRunTime(job, step).count());
-    return work;
-}
-
 void RunDispatcher::unblockSteps(KeyedJob &job)
 {
     const auto done = [&](std::uint32_t step) {
@@ -164,16 +124,22 @@
 {
     Batches batches;
     int unplaced = 0;
+    UnplacedNeeds unplacedNeeds;
     for (auto position = m_ready.begin(); position != m_ready.end() && unplaced < LookAhead;) {
         const auto current = position++;
         const TaskRef ref = current->second;
         KeyedJob &job = m_jobs.at(ref.job);
         const KeyedTask &task = job.tasks[ref.step][ref.index];
-        const PlacementRequest request{job.rule.service, job.spec.steps[ref.step].need,
-                                       expectedRunTime(job, ref.step), m_settings.dataCentre,
-                                       task.avoided};
+        const ResourceNeed &need = job.spec.steps[ref.step].need;
+        if (unplacedNeeds.rulesOut(job.rule.service, need)) {
+            ++unplaced;
+            continue;
+        }
+        const PlacementRequest request{job.rule.service, need, job.outlook.runTimes[ref.step],
+                                       m_settings.dataCentre, task.avoided};
         const std::optional<Incarnation> agent = m_settings.choice.choose(m_board, request);
         if (!agent) {
+            unplacedNeeds.add(job.rule.service, need);
             ++unplaced;
             continue;
         }
@@ -211,7 +177,7 @@
         message.timeLeft = std::max(job.objective - now, Duration(0));
     }
     message.orders.push_back(
-        {ref.index, task.run, m_board.book(agent, step.need), expectedRunTime(job, ref.step)});
+        {ref.index, task.run, m_board.book(agent, step.need), job.outlook.runTimes[ref.step]});
 }
 
 void RunDispatcher::callerLeft(TimePoint now, CallId call, DispatchOutbox &out)
@@ -352,17 +318,13 @@
     const TaskRef ref{ended.run.job, ended.run.step, ended.run.index};
     --job.openRuns;
     if (ended.end != RunResult::Done && !job.released)
-        logRun(job, ended, agent);
+        logRunEnded(job, ended, agentName(agent));
     switch (ended.end) {
     case RunResult::Done: {
         ++m_statistics.runsDone;
         task->phase = TaskPhase::Done;
         --job.tasksLeft;
-        const Duration declared = job.spec.steps[ref.step].declaredRunTime;
-        if (declared > Duration(0))
-            m_ratios.record(
-                job.rule.name, {},
-                Duration(ended.runTime.count() * DeclaredUnit.count() / declared.count()));
+        m_forecast.record(job, ref.step, ended.runTime);
         break;
     }
     case RunResult::Failed:
@@ -418,7 +380,7 @@
 
 void RunDispatcher::finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out)
 {
-    log(job, answer, now);
+    logJobEnded(job, answer, now, m_ready.size(), m_board.entries().size());
     switch (answer.outcome) {
     case Outcome::Completed:
         ++m_statistics.jobsCompleted;
@@ -485,6 +447,7 @@
     successor.arrived = next->arrived;
     successor.deadline = next->deadline;
     successor.lastRun = RunNumber(highest);
+    m_forecast.apply(successor);
     open(now, std::move(successor));
 }
 
@@ -554,10 +517,8 @@
     job.rank = m_settings.order.rank(now, job);
     const Duration objective = job.objective - job.arrived;
     const TimePoint useless = std::min(job.arrived + objective * UsefulLateness, job.deadline);
-    // Whoever can hardly be served any more is told so now, not when it is certain. A queue that
-    // was empty a moment ago is a short burst, which the workers take in.
-    const bool standingQueue = now - m_lastEmpty >= StandingQueue;
-    if (standingQueue && now + expectedWait(now, job) + expectedChain(job) > useless) {
+    // Whoever can hardly be served any more is told so now, not when it is certain.
+    if (m_settings.overload.hopeless(loadBefore(now, job), job.outlook.chain, useless - now)) {
         finish(now, job, refusal(now, job, Reason::Overload), out);
         return closeIfOver(now, key, out);
     }
@@ -566,23 +527,24 @@
     m_timers.schedule(now + LateCheckInterval, Timer{TimerKind::Late, {key, 0, 0}, {}});
 }
 
-Duration RunDispatcher::expectedWait(TimePoint now, const KeyedJob &job) const
+ServiceLoad RunDispatcher::loadBefore(TimePoint now, const KeyedJob &job) const
 {
-    double backlog = 0;
+    ServiceLoad load;
     for (const auto &[rank, ref] : m_ready) {
         if (rank > job.rank)
             break;
         const KeyedJob &waiting = m_jobs.at(ref.job);
-        backlog += static_cast<double>(waiting.spec.steps[ref.step].need.milliProcessors)
-            * static_cast<double>(expectedRunTime(waiting, ref.step).count());
+        if (waiting.rule.service != job.rule.service)
+            continue;
+        load.waitingWork += JobOutlook::workOfTask(waiting.spec.steps[ref.step],
+                                                   waiting.outlook.runTimes[ref.step]);
     }
-    // Each home has a share of the workers, and new jobs go before late ones.
-    const double share = static_cast<double>(m_board.totalMilliProcessors(job.rule.service))
+    load.milliProcessors = static_cast<double>(m_board.totalMilliProcessors(job.rule.service))
         / static_cast<double>(std::max<std::size_t>(1, m_homes));
-    const double left = share - m_arrivals.rate(now);
-    if (left <= 0 || backlog / left > static_cast<double>(LongestWait.count()))
-        return LongestWait;
-    return Duration(static_cast<Duration::rep>(backlog / left));
+    const auto arrivals = m_arrivals.find(job.rule.service);
+    load.arrivingWork = arrivals == m_arrivals.end() ? 0 : arrivals->second.rate(now);
+    load.standing = now - m_lastEmpty;
+    return load;
 }
 
 Answer RunDispatcher::refusal(TimePoint now, const KeyedJob &job, Reason reason) const
@@ -590,7 +552,7 @@
     Answer answer;
     answer.outcome = Outcome::NotRun;
     answer.reason = reason;
-    answer.retryAfter = std::clamp(expectedWait(now, job), ShortestRetryAfter, LongestRetryAfter);
+    answer.retryAfter = m_settings.overload.retryAfter(loadBefore(now, job), job.spec.key);
     return answer;
 }
 
@@ -603,49 +565,16 @@
         }));
 }
 
-bool RunDispatcher::anyWorker() const
+std::string_view RunDispatcher::agentName(Incarnation agent) const
 {
-    return std::any_of(m_board.entries().begin(), m_board.entries().end(),
-                       [](const auto &item) { return item.second.linked && item.second.room; });
-}
-
-void RunDispatcher::logRun(const KeyedJob &job, const EndedRun &ended, Incarnation agent) const
-{
-    constexpr std::array<std::string_view, 6> Results = {"",        "done", "failed",
-                                                         "stopped", "lost", "not_started"};
     const BoardEntry *entry = m_board.find(agent);
-    LogEvent(LogLevel::Info, "run_ended")
-        .field("job", jobKeyText(job.spec.key))
-        .field("step", ended.run.step)
-        .field("task", ended.run.index)
-        .field("run", ended.run.run.value())
-        .field("result", Results[static_cast<std::size_t>(ended.end)])
-        .field("agent", entry != nullptr ? entry->agent.name : "")
-        .field("run_ms", ended.runTime.count() / 1000)
-        .field("expected_ms", expectedRunTime(job, ended.run.step).count() / 1000);
+    return entry != nullptr ? entry->agent.name : std::string_view();
 }
 
-void RunDispatcher::log(const KeyedJob &job, const Answer &answer, TimePoint now) const
+bool RunDispatcher::anyWorker() const
 {
-    // What is completed in time needs no explanation.
-    if (answer.outcome == Outcome::Completed && now <= job.objective)
-        return;
-    LogEvent event(LogLevel::Info, "job_ended");
-    event.field("job", jobKeyText(job.spec.key))
-        .field("queue", job.rule.name)
-        .field("outcome", toString(answer.outcome))
-        .field("reason", toString(answer.reason))
-        .field("age_ms", (now - job.arrived).count() / 1000)
-        .field("objective_ms", (job.objective - job.arrived).count() / 1000)
-        .field("first_order_ms",
-               job.ordersSent == 0 ? -1 : (job.firstOrder - job.arrived).count() / 1000)
-        .field("tasks", taskCount(job.spec))
-        .field("tasks_left", job.tasksLeft)
-        .field("orders", job.ordersSent)
-        .field("waiting_tasks", m_ready.size())
-        .field("agents", m_board.entries().size());
-    if (answer.retryAfter)
-        event.field("retry_after_ms", answer.retryAfter->count() / 1000);
+    return std::any_of(m_board.entries().begin(), m_board.entries().end(),
+                       [](const auto &item) { return item.second.linked && item.second.room; });
 }
 
 } // namespace Bluebellquay
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -6,9 +6,10 @@
 // DispatchOutbox.
 #pragma once
 
+#include "core/jobforecast.h"
 #include "core/joborder.h"
 #include "core/keyedjob.h"
-#include "core/runtimeestimates.h"
+#include "core/overloadrule.h"
 #include "core/timerheap.h"
 #include "core/workerboard.h"
 #include "core/workerchoice.h"
@@ -20,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -55,6 +57,7 @@
     double waitingShare = 0.5;
     EarliestEnd choice;
     LeastTimeLeft order;
+    OverloadRule overload;
 };
 
 struct RunDispatcherStatistics
@@ -131,8 +134,6 @@
     using Batches = std::map<std::tuple<Incarnation, JobKey, std::uint32_t>, StartRuns>;
 
     KeyedTask *findTask(const RunKey &run, Incarnation agent);
-    Duration expectedRunTime(const KeyedJob &job, std::uint32_t step) const;
-    Duration expectedChain(const KeyedJob &job) const;
     void open(TimePoint now, KeyedJob opened);
     void unblockSteps(KeyedJob &job);
     void makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index);
@@ -148,22 +149,16 @@
     void agentGone(TimePoint now, Incarnation agent, DispatchOutbox &out);
     // The job can't be done in time any more and has not begun.
     void becomeLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
-    // Time in which this home's share of the workers would do the waiting work that goes before
-    // this job, beside the work that keeps arriving.
-    Duration expectedWait(TimePoint now, const KeyedJob &job) const;
+    ServiceLoad loadBefore(TimePoint now, const KeyedJob &job) const;
     Answer refusal(TimePoint now, const KeyedJob &job, Reason reason) const;
-    // Processors times run time of all tasks, in thousandths of a processor times microseconds.
-    double workOf(const KeyedJob &job) const;
-    void log(const KeyedJob &job, const Answer &answer, TimePoint now) const;
-    void logRun(const KeyedJob &job, const EndedRun &ended, Incarnation agent) const;
+    std::string_view agentName(Incarnation agent) const;
 
     RunDispatcherSettings m_settings;
     RunDispatcherStatistics m_statistics;
     WorkerBoard m_board;
-    // Ratio of actual to declared run time by queue, as time for a declared second.
-    RunTimeEstimates m_ratios;
-    // Work of the jobs that were submitted lately.
-    WorkRate m_arrivals;
+    JobForecast m_forecast;
+    // Work of the jobs that were submitted lately, by service.
+    std::map<std::string, WorkRate> m_arrivals;
     std::unordered_map<JobKey, KeyedJob> m_jobs;
     std::unordered_map<CallId, JobKey> m_calls;
     // Tasks that wait for a worker, in the order in which they should start.
--- a/source/core/runledger.cpp
+++ b/source/core/runledger.cpp
@@ -164,14 +164,13 @@
 
 void RunLedger::homeUp(Incarnation home)
 {
-    m_homes.try_emplace(home);
+    m_reports.homeUp(home);
 }
 
 void RunLedger::handle(TimePoint now, Incarnation home, const StartRuns &message, RunOutbox &out)
 {
     for (const RunOrder &order : message.orders) {
-        OrderNumber &last = m_homes[home];
-        last = std::max(last, order.order);
+        m_reports.orderReceived(home, order.order);
         const RunKey key{message.job, message.step, order.index, order.run};
         if (const auto kept = m_endsKept.find(key); kept != m_endsKept.end()) {
             out.messages.emplace_back(home, RunsEnded{{kept->second.end}});
@@ -227,12 +226,12 @@
     }
     if (!ended.runs.empty())
         out.messages.emplace_back(home, std::move(ended));
-    out.messages.emplace_back(home, describeRoom(now));
+    m_reports.tell(now, home, describeRoom(now), out.messages);
 }
 
 void RunLedger::homeSilent(TimePoint now, Incarnation home, RunOutbox &out)
 {
-    m_homes.erase(home);
+    m_reports.homeGone(home);
     for (auto position = m_runs.begin(); position != m_runs.end();) {
         const auto current = position++;
         if (current->second.home != home)
@@ -278,8 +277,10 @@
         }
         }
     }
-    if (!check)
+    if (!check) {
+        m_reports.tellDue(now, describeRoom(now), out.messages);
         return;
+    }
     for (auto position = m_waiting.begin(); position != m_waiting.end();) {
         const auto run = m_runs.find((position++)->second);
         if (now >= run->second.received + m_settings.longestWait)
@@ -526,19 +527,15 @@
 
 void RunLedger::reportRooms(TimePoint now, RunOutbox &out)
 {
-    ++m_reportSequence;
-    const WorkerRoom room = describeRoom(now);
-    for (const auto &[home, order] : m_homes) {
-        WorkerRoom report = room;
-        report.lastOrder = order;
-        out.messages.emplace_back(home, std::move(report));
-    }
+    std::set<Incarnation> writtenTo;
+    for (const auto &[home, message] : out.messages)
+        writtenTo.insert(home);
+    m_reports.changed(now, describeRoom(now), writtenTo, out.messages);
 }
 
 WorkerRoom RunLedger::describeRoom(TimePoint now) const
 {
     WorkerRoom room;
-    room.sequence = m_reportSequence;
     room.accepting = accepting(now);
     room.settled = m_accounted && m_foreignRuns == 0;
     if (!m_worker)
--- a/source/core/runledger.h
+++ b/source/core/runledger.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "base/messages.h"
+#include "core/roomreports.h"
 #include "core/timerheap.h"
 #include "core/workercalls.h"
 #include "core/workerwatch.h"
@@ -85,7 +86,10 @@
     std::size_t runs() const { return m_runs.size(); }
 
     void advance(TimePoint now, RunOutbox &out);
-    std::optional<TimePoint> nextWakeup() const { return m_timers.next(); }
+    std::optional<TimePoint> nextWakeup() const
+    {
+        return earliest(m_timers.next(), m_reports.nextDue());
+    }
 
     bool accepting(TimePoint now) const;
     const RunLedgerStatistics &statistics() const { return m_statistics; }
@@ -177,9 +181,7 @@
     // Runs of previous incarnations of this agent, whose need is unknown.
     std::uint32_t m_foreignRuns = 0;
     std::map<RunKey, KeptEnd> m_endsKept;
-    // Linked homes and the last order received from each.
-    std::map<Incarnation, OrderNumber> m_homes;
-    std::uint64_t m_reportSequence = 0;
+    RoomReports m_reports;
     TimerHeap<Timer> m_timers;
 };
 
--- /dev/null
+++ b/tests/dispatch/overloadruletest.cpp
@@ -0,0 +1,70 @@
+// Guards against refusing what a short burst only delays, against keeping what can't be served in
+// time, and against refused callers that all come back at once.
+#include "core/overloadrule.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <set>
+
+using namespace Bluebellquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Ten processors that have a second of work waiting, while half of them are taken by new work.
+ServiceLoad overload()
+{
+    ServiceLoad load;
+    load.milliProcessors = 10'000;
+    load.arrivingWork = 5'000;
+    load.waitingWork = 10'000.0 * static_cast<double>(Duration(1s).count());
+    load.standing = 1s;
+    return load;
+}
+
+} // namespace
+
+TEST_CASE("the wait is that of the waiting work beside what keeps arriving")
+{
+    CHECK(OverloadRule().expectedWait(overload()) == Duration(2s));
+}
+
+TEST_CASE("a wait without end is told when more arrives than the workers do")
+{
+    ServiceLoad load = overload();
+    load.arrivingWork = load.milliProcessors;
+    CHECK(OverloadRule().expectedWait(load) == OverloadRule::LongestWait);
+}
+
+TEST_CASE("a job that would come too late is hopeless in a standing queue, not in a burst")
+{
+    ServiceLoad load = overload();
+    CHECK(OverloadRule().hopeless(load, 100ms, 2'050ms));
+    CHECK_FALSE(OverloadRule().hopeless(load, 100ms, 2'150ms));
+    load.standing = OverloadRule::StandingQueue - 1ms;
+    CHECK_FALSE(OverloadRule().hopeless(load, 100ms, 2'050ms));
+}
+
+TEST_CASE("callers refused together are told different times to come back")
+{
+    const OverloadRule rule;
+    std::set<Duration> times;
+    for (std::uint64_t key = 0; key < 100; ++key) {
+        const Duration after = rule.retryAfter(overload(), JobKey(key));
+        CHECK(after >= 2s);
+        CHECK(after <= 3s);
+        times.insert(after);
+    }
+    CHECK(times.size() > 50);
+}
+
+TEST_CASE("the time to come back is bounded")
+{
+    ServiceLoad load = overload();
+    load.arrivingWork = load.milliProcessors;
+    CHECK(OverloadRule().retryAfter(load, JobKey(0)) == OverloadRule::LongestRetryAfter);
+    load = ServiceLoad();
+    load.milliProcessors = 1;
+    CHECK(OverloadRule().retryAfter(load, JobKey(0)) == OverloadRule::ShortestRetryAfter);
+}
