Return orders that find no room at once; draw among workers that are nearly as good

Change: the home marks orders that it sends ahead to a full worker on purpose; the agent returns any other order that finds no room at once, with its present room. The choice adds a drawn share of the run time to the cost of each worker, and emptier workers count more (0.6 of the run time instead of 0.1). Existing tests of waiting orders mark them as sent ahead.

--- a/source/base/runmessages.h
+++ b/source/base/runmessages.h
@@ -44,6 +44,9 @@
     OrderNumber order;
     // What the home expects this run to take on a worker of ordinary speed.
     Duration expectedRunTime{0};
+    // The home knows that there is no room and has no better place: the order is to wait for it.
+    // Any other order that finds no room is returned at once.
+    bool mayWait = false;
 
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
 };
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -24,6 +24,7 @@
 
 RunDispatcher::RunDispatcher(RunDispatcherSettings settings)
     : m_settings(std::move(settings))
+    , m_draws(m_settings.seed)
 { }
 
 void RunDispatcher::submit(TimePoint now, CallId call, KeyedJobSpec spec, const QueueRule &rule,
@@ -135,16 +136,17 @@
             ++unplaced;
             continue;
         }
-        const PlacementRequest request{job.rule.service, need, job.outlook.runTimes[ref.step],
-                                       m_settings.dataCentre, task.avoided};
-        const std::optional<Incarnation> agent = m_settings.choice.choose(m_board, request);
-        if (!agent) {
+        const PlacementRequest request{
+            job.rule.service,      need,         job.outlook.runTimes[ref.step],
+            m_settings.dataCentre, task.avoided, ++m_draws};
+        const std::optional<Placement> placement = m_settings.choice.choose(m_board, request);
+        if (!placement) {
             unplacedNeeds.add(job.rule.service, need);
             ++unplaced;
             continue;
         }
         m_ready.erase(current);
-        order(now, job, ref, *agent, batches);
+        order(now, job, ref, *placement, batches);
     }
     if (m_ready.empty())
         m_lastEmpty = now;
@@ -152,9 +154,10 @@
         out.messages.emplace_back(std::get<Incarnation>(target), std::move(message));
 }
 
-void RunDispatcher::order(TimePoint now, KeyedJob &job, const TaskRef &ref, Incarnation agent,
-                          Batches &batches)
+void RunDispatcher::order(TimePoint now, KeyedJob &job, const TaskRef &ref,
+                          const Placement &placement, Batches &batches)
 {
+    const Incarnation agent = placement.agent;
     KeyedTask &task = job.tasks[ref.step][ref.index];
     const KeyedStep &step = job.spec.steps[ref.step];
     task.phase = TaskPhase::Ordered;
@@ -176,8 +179,8 @@
         message.need = step.need;
         message.timeLeft = std::max(job.objective - now, Duration(0));
     }
-    message.orders.push_back(
-        {ref.index, task.run, m_board.book(agent, step.need), job.outlook.runTimes[ref.step]});
+    message.orders.push_back({ref.index, task.run, m_board.book(agent, step.need),
+                              job.outlook.runTimes[ref.step], placement.ahead});
 }
 
 void RunDispatcher::callerLeft(TimePoint now, CallId call, DispatchOutbox &out)
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -45,6 +45,8 @@
 struct RunDispatcherSettings
 {
     std::string dataCentre;
+    // Should differ between homes.
+    std::uint64_t seed = 0;
     // After this time without a link to an agent, nothing of this home runs there any more.
     Duration agentGoneAfter{2'500'000};
     // Jobs in memory; further ones are refused.
@@ -138,7 +140,7 @@
     void unblockSteps(KeyedJob &job);
     void makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index);
     void dispatch(TimePoint now, DispatchOutbox &out);
-    void order(TimePoint now, KeyedJob &job, const TaskRef &ref, Incarnation agent,
+    void order(TimePoint now, KeyedJob &job, const TaskRef &ref, const Placement &placement,
                Batches &batches);
     void runEnded(TimePoint now, const EndedRun &ended, Incarnation agent, DispatchOutbox &out);
     void retryTask(TimePoint now, KeyedJob &job, const TaskRef &ref, Duration delay);
@@ -161,6 +163,8 @@
     std::map<std::string, WorkRate> m_arrivals;
     std::unordered_map<JobKey, KeyedJob> m_jobs;
     std::unordered_map<CallId, JobKey> m_calls;
+    // Differs between homes and rises with each placement.
+    std::uint64_t m_draws = 0;
     // Tasks that wait for a worker, in the order in which they should start.
     std::set<std::pair<TimePoint, TaskRef>> m_ready;
     // When no task waited for a worker.
--- a/source/core/runledger.cpp
+++ b/source/core/runledger.cpp
@@ -194,6 +194,13 @@
     startWaiting(now, out);
     if (!accepting(now))
         returnWaiting(now, out);
+    // The home believed in room that another home has taken; it chooses again with the new report.
+    for (const RunOrder &order : message.orders) {
+        const auto position = m_runs.find({message.job, message.step, order.index, order.run});
+        if (!order.mayWait && position != m_runs.end()
+            && position->second.state == RunState::Waiting)
+            end(now, position, RunResult::NotStarted, out);
+    }
     reportRooms(now, out);
 }
 
--- a/source/core/workerchoice.h
+++ b/source/core/workerchoice.h
@@ -22,6 +22,16 @@
     const std::string &dataCentre;
     // Agent that has returned or lost this task before; chosen only if no other one fits.
     Incarnation avoided;
+    // Differs from one task to the next, and from home to home.
+    std::uint64_t draw = 0;
+};
+
+// The worker that was chosen.
+struct Placement
+{
+    Incarnation agent;
+    // It is known to have no room: the order is sent ahead, to be started when a run ends.
+    bool ahead = false;
 };
 
 template <typename Policy>
@@ -30,12 +40,16 @@
 {
     {
         policy.choose(board, request)
-        } -> std::same_as<std::optional<Incarnation>>;
+        } -> std::same_as<std::optional<Placement>>;
 };
 
 // Takes the worker on which the task should end first; among equals the emptier one. If none has
 // room, a worker may be sent a little more than it can hold, so that it has a task at hand when one
 // ends.
+//
+// Homes learn of each other's orders late. If all took the best worker, they would send it more
+// than it can hold while others are idle, so the order among workers that are nearly as good is
+// drawn anew for each task.
 struct EarliestEnd
 {
     // Share of a worker's processors that may be ordered beyond its room.
@@ -43,20 +57,22 @@
     // Cost of leaving the data centre: a round trip, and bytes that are charged.
     Duration otherCentre{2'000};
     // A full worker counts as this much slower than an empty one, so that load spreads.
-    double loadPenalty = 0.1;
+    double loadPenalty = 0.6;
+    // Workers of which one is slower by less than this share are taken in random order.
+    double drawnShare = 0.3;
 
-    std::optional<Incarnation> choose(const WorkerBoard &board,
-                                      const PlacementRequest &request) const
+    std::optional<Placement> choose(const WorkerBoard &board, const PlacementRequest &request) const
     {
-        std::optional<Incarnation> best;
+        std::optional<Placement> best;
         double bestCost = std::numeric_limits<double>::max();
         for (const auto &[incarnation, entry] : board.entries()) {
             if (!entry.usable(request.service))
                 continue;
-            const double cost = this->cost(entry, request);
+            const bool ahead = !entry.fits(request.need);
+            const double cost = ahead ? costAhead(entry, request) : costNow(entry, request);
             if (cost < bestCost) {
                 bestCost = cost;
-                best = incarnation;
+                best = Placement{incarnation, ahead};
             }
         }
         return best;
@@ -65,22 +81,42 @@
 private:
     static constexpr double Avoided = 1e12;
     static constexpr double Unfit = std::numeric_limits<double>::max();
+    static constexpr double QueuedCost = 0.5;
 
-    double cost(const BoardEntry &entry, const PlacementRequest &request) const
+    static double expectedTime(const BoardEntry &entry, const PlacementRequest &request)
     {
-        const double total = std::max<double>(1, entry.room->total.milliProcessors);
-        const double expected = static_cast<double>(entry.predicted(request.expected).count());
-        double cost = expected;
-        if (entry.fits(request.need)) {
-            const double free = static_cast<double>(entry.freeMilliProcessors()) / total;
-            cost += expected * loadPenalty * (1 - free);
-        } else {
-            const double ahead = static_cast<double>(entry.overcommitted());
-            if (entry.room->probation || ahead + request.need.milliProcessors > total * queueAhead)
-                return Unfit;
-            // Half a run is the mean time until one of the runs ahead ends.
-            cost += expected * (QueuedCost + ahead / total);
-        }
+        return static_cast<double>(entry.predicted(request.expected).count());
+    }
+
+    static double processors(const BoardEntry &entry)
+    {
+        return std::max<double>(1, entry.room->total.milliProcessors);
+    }
+
+    // On a worker that has room.
+    double costNow(const BoardEntry &entry, const PlacementRequest &request) const
+    {
+        const double free = static_cast<double>(entry.freeMilliProcessors()) / processors(entry);
+        const double drawn = drawnShare * uniform(request.draw, entry.agent.incarnation);
+        return expectedTime(entry, request) * (1 + loadPenalty * (1 - free) + drawn)
+            + surcharge(entry, request);
+    }
+
+    // On a worker that has none.
+    double costAhead(const BoardEntry &entry, const PlacementRequest &request) const
+    {
+        const double total = processors(entry);
+        const double ahead = static_cast<double>(entry.overcommitted());
+        if (entry.room->probation || ahead + request.need.milliProcessors > total * queueAhead)
+            return Unfit;
+        // Half a run is the mean time until one of the runs ahead ends.
+        return expectedTime(entry, request) * (1 + QueuedCost + ahead / total)
+            + surcharge(entry, request);
+    }
+
+    double surcharge(const BoardEntry &entry, const PlacementRequest &request) const
+    {
+        double cost = 0;
         if (entry.agent.dataCentre != request.dataCentre)
             cost += static_cast<double>(otherCentre.count());
         if (entry.agent.incarnation == request.avoided)
@@ -88,7 +124,17 @@
         return cost;
     }
 
-    static constexpr double QueuedCost = 0.5;
+    // In [0, 1), by the finalizer of the SplitMix64 generator.
+    static double uniform(std::uint64_t draw, Incarnation agent)
+    {
+        std::uint64_t mixed = draw + agent.value() * 0x9e3779b97f4a7c15ULL;
+        mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+        mixed ^= mixed >> 31U;
+        constexpr unsigned UnusedBits = 11;
+        constexpr double Scale = 1.0 / (1ULL << 53U);
+        return static_cast<double>(mixed >> UnusedBits) * Scale;
+    }
 };
 static_assert(WorkerChoice<EarliestEnd>);
 
--- a/source/net/messagefields.h
+++ b/source/net/messagefields.h
@@ -140,7 +140,8 @@
 template <>
 inline constexpr auto WireFields<RunOrder> = std::make_tuple(&RunOrder::index, &RunOrder::run,
                                                              &RunOrder::order,
-                                                             &RunOrder::expectedRunTime);
+                                                             &RunOrder::expectedRunTime,
+                                                             &RunOrder::mayWait);
 template <>
 inline constexpr auto WireFields<EndedRun> = std::make_tuple(&EndedRun::run, &EndedRun::end,
                                                              &EndedRun::runTime);
--- a/tests/dispatch/heavyloadtest.cpp
+++ b/tests/dispatch/heavyloadtest.cpp
@@ -24,13 +24,13 @@
 }
 
 // Submits jobs of two tasks at this share of the room of all workers.
-void load(KeyedSite &site, std::size_t agents, double share, Duration span)
+void load(KeyedSite &site, std::size_t agents, double share, Duration span, std::size_t entries = 3)
 {
     const double tasksPerSecond = static_cast<double>(agents) * 10 * share * 10;
     const Duration gap(static_cast<Duration::rep>(2e6 / tasksPerSecond));
     std::size_t entry = 0;
     for (Duration passed{0}; passed < span; passed += gap) {
-        site.submit(entry++ % 3, 2, task(), RunTime * 2, 2s);
+        site.submit(entry++ % entries, 2, task(), RunTime * 2, 2s);
         site.run(gap);
     }
     site.run(3s);
@@ -41,6 +41,8 @@
     double inTime = 0;
     double done = 0;
     Duration slowestRefusal{0};
+    // From the first submission to the answer, of the completed jobs.
+    Duration meanTime{0};
 };
 
 Served served(const KeyedSite &site)
@@ -52,10 +54,13 @@
             continue;
         const bool completed = end.answer.outcome == Outcome::Completed;
         result.done += completed ? 1 : 0;
+        if (completed)
+            result.meanTime += end.after;
         result.inTime += completed && end.after <= objective ? 1 : 0;
         if (end.answer.outcome == Outcome::NotRun)
             result.slowestRefusal = std::max(result.slowestRefusal, end.after);
     }
+    result.meanTime /= std::max<Duration::rep>(1, static_cast<Duration::rep>(result.done));
     const auto all = static_cast<double>(site.ends().size());
     result.inTime /= all;
     result.done /= all;
@@ -123,3 +128,18 @@
     CHECK(result.done >= 0.99);
     CHECK(site.violations().empty());
 }
+
+// Seen on hinokuni-archive-grown: half of all jobs waited 17 ms for their first start on workers
+// that were half empty, because the homes chose the same worker.
+TEST_CASE("many homes do not send their tasks to the same worker")
+{
+    KeyedSiteSettings settings;
+    settings.entries = 13;
+    settings.agents = 39;
+    settings.speeds = {0.8, 1, 1.25};
+    KeyedSite site(settings);
+    load(site, settings.agents, 0.6, 2s, settings.entries);
+    const Served result = served(site);
+    CHECK(result.inTime >= 0.99);
+    CHECK(result.meanTime <= RunTime * 11 / 10);
+}
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -58,30 +58,31 @@
 };
 
 KeyedSite::KeyedSite(KeyedSiteSettings settings)
-    : m_settings(settings)
-    , m_random(settings.seed)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
 {
     m_rule.name = "sheets";
     m_rule.service = "archive";
     m_rule.maxAttempts = 3;
     m_rule.slackFactor = 1.6;
     m_rule.allowance = std::chrono::milliseconds(60);
-    for (std::size_t i = 0; i < settings.agents; ++i) {
+    for (std::size_t i = 0; i < m_settings.agents; ++i) {
         auto agent = std::make_unique<Agent>();
         ModelWorkerSettings worker;
         worker.name = "worker-" + std::to_string(i);
-        worker.room = settings.room;
-        worker.lostAnswers = settings.lostAnswers;
+        worker.room = m_settings.room;
+        worker.speed = m_settings.speeds[i % m_settings.speeds.size()];
+        worker.lostAnswers = m_settings.lostAnswers;
         agent->worker = std::make_unique<ModelWorker>(
             m_clock, m_random, m_judge, [this](const RunKey &run) { return m_tasks.at(run.job); },
             worker);
         m_agents.push_back(std::move(agent));
     }
-    for (std::size_t i = 0; i < settings.entries; ++i) {
+    for (std::size_t i = 0; i < m_settings.entries; ++i) {
         m_entries.push_back(std::make_unique<Entry>());
         startEntry(i);
     }
-    for (std::size_t i = 0; i < settings.agents; ++i)
+    for (std::size_t i = 0; i < m_settings.agents; ++i)
         startAgent(i);
     run(std::chrono::milliseconds(100));
 }
@@ -96,6 +97,7 @@
     RunDispatcherSettings settings;
     settings.dataCentre = "fukuoka";
     settings.agentGoneAfter = AgentGoneAfter;
+    settings.seed = entry.incarnation.value() << 32U;
     entry.dispatcher = std::make_unique<RunDispatcher>(settings);
     entry.dispatcher->setHomes(m_settings.entries);
     entry.calls.clear();
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -23,6 +23,8 @@
     std::size_t entries = 3;
     std::size_t agents = 4;
     double lostAnswers = 0;
+    // Of the workers, by turns.
+    std::vector<double> speeds{1};
     ResourceNeed room{64'000, 128'000'000'000ULL, 0};
     // Mechanisms that a test switches off to see that the judge notices.
     bool agentsStopSilentHomes = true;
--- a/tests/dispatch/modelworker.cpp
+++ b/tests/dispatch/modelworker.cpp
@@ -117,7 +117,9 @@
     running.generation = ++m_lastGeneration;
     if (m_still)
         return;
-    m_clock.at(m_clock.now() + running.task.runTime, [this, run, generation = running.generation] {
+    const auto runTime =
+        std::chrono::duration_cast<Duration>(running.task.runTime / m_settings.speed);
+    m_clock.at(m_clock.now() + runTime, [this, run, generation = running.generation] {
         const auto position = m_runs.find(run);
         if (position == m_runs.end() || position->second.generation != generation)
             return;
--- a/tests/dispatch/modelworker.h
+++ b/tests/dispatch/modelworker.h
@@ -50,6 +50,8 @@
 {
     std::string name;
     ResourceNeed room{64'000, 128'000'000'000ULL, 0};
+    // Run times are divided by it.
+    double speed = 1;
     // Share of the calls that get no answer; half of them are carried out up to this much later.
     double lostAnswers = 0;
     Duration latest{3'000'000};
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -34,13 +34,13 @@
     {
         return {Job, 0, index, RunNumber(run)};
     }
-    void order(std::uint32_t index, std::uint32_t cpu, std::uint64_t run = 1)
+    void order(std::uint32_t index, std::uint32_t cpu, std::uint64_t run = 1, bool mayWait = true)
     {
         StartRuns message;
         message.job = Job;
         message.need.milliProcessors = cpu;
         message.timeLeft = 100ms;
-        message.orders.push_back({index, RunNumber(run), OrderNumber(++lastOrder), 100ms});
+        message.orders.push_back({index, RunNumber(run), OrderNumber(++lastOrder), 100ms, mayWait});
         ledger.handle(now, Home, message, out);
     }
     void account(std::vector<RunKey> running, std::vector<ListedEnd> ended,
@@ -86,6 +86,21 @@
 }
 
 // Seen on maras-coop, scale-1 with seed 142839589232: room was freed under a run that went on.
+// Seen on hinokuni-archive-grown: orders waited on a full worker while others were idle.
+TEST_CASE_METHOD(LedgerFixture, "an order that found the room taken is returned with what is left")
+{
+    order(0, 40'000, 1, false);
+    clear();
+    order(1, 40'000, 1, false);
+    CHECK(out.starts.empty());
+    REQUIRE(ends().size() == 1);
+    CHECK(ends().front().end == RunResult::NotStarted);
+    const auto *room = std::get_if<WorkerRoom>(&out.messages.back().second);
+    REQUIRE(room != nullptr);
+    CHECK(room->free.milliProcessors == 24'000);
+    CHECK(room->lastOrder == OrderNumber(lastOrder));
+}
+
 TEST_CASE_METHOD(LedgerFixture, "an account that was overtaken by a newer one ends no run")
 {
     order(0, 40'000);
@@ -222,7 +237,7 @@
         StartRuns message;
         message.job = JobKey(100 + i);
         message.need.milliProcessors = 1'000;
-        message.orders.push_back({0, RunNumber(1), OrderNumber(++lastOrder), 100ms});
+        message.orders.push_back({0, RunNumber(1), OrderNumber(++lastOrder), 100ms, false});
         ledger.handle(now, Home, message, out);
         const RunKey run{JobKey(100 + i), 0, 0, RunNumber(1)};
         ledger.startAnswered(now, run, StartAnswer::Accepted, out);
