Serve required labels, racks of data and limits for each worker; settings for other deployments

Cause: jobs that ask for a label, a rack or a limit of tasks for each worker were refused. Bounds with a fraction (graceS) or longer leases than those of the two sites made the settings be refused, so that no program would start. Change: the choice of a worker leaves out workers without the label or with as many tasks of the step as allowed, and counts the far factor on other racks; expected and learned run times take it into account. stop_grace_s takes fractions, far_factor is new, orders other than by invocation are refused with a finding, and the time after which an agent is given up follows from the lease. "speculative" is accepted: it allows copies, and none are started. Tests: rundispatchertest (four), documentstest, platformsettingstest.

--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -23,6 +23,14 @@
     Duration declaredRunTime{0};
     // Steps whose tasks must all be done before; each is smaller than the number of this one.
     std::vector<std::uint32_t> after;
+    // Label that the worker must have; empty for any worker.
+    std::string requiredLabel;
+    // Rack near which the data is; elsewhere the tasks take longer. Empty if it does not matter.
+    std::string dataRack;
+    // Tasks of the step that may be on one worker at a time; zero for any number.
+    std::uint32_t mostPerWorker = 0;
+
+    bool anyWorkerWillDo() const { return requiredLabel.empty() && mostPerWorker == 0; }
 };
 
 struct KeyedJobSpec
@@ -55,6 +63,8 @@
     std::uint32_t failures = 0;
     // Orders that came back without a start.
     std::uint32_t returned = 0;
+    // The run is away from the task's data. Valid while ordered.
+    bool far = false;
     // Agent of the last run that did not succeed.
     Incarnation avoided;
 };
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -131,17 +131,20 @@
         const TaskRef ref = current->second;
         KeyedJob &job = m_jobs.at(ref.job);
         const KeyedTask &task = job.tasks[ref.step][ref.index];
-        const ResourceNeed &need = job.spec.steps[ref.step].need;
-        if (unplacedNeeds.rulesOut(job.rule.service, need)) {
+        const KeyedStep &step = job.spec.steps[ref.step];
+        if (unplacedNeeds.rulesOut(job.rule.service, step.need)) {
             ++unplaced;
             continue;
         }
+        const std::vector<Incarnation> excluded = fullAgents(job, ref.step);
         const PlacementRequest request{
-            job.rule.service,      need,         job.outlook.runTimes[ref.step],
-            m_settings.dataCentre, task.avoided, ++m_draws};
+            job.rule.service,     step,     job.outlook.runTimes[ref.step],
+            m_settings.farFactor, excluded, m_settings.dataCentre,
+            task.avoided,         ++m_draws};
         const std::optional<Placement> placement = m_settings.choice.choose(m_board, request);
         if (!placement) {
-            unplacedNeeds.add(job.rule.service, need);
+            if (step.anyWorkerWillDo())
+                unplacedNeeds.add(job.rule.service, step.need);
             ++unplaced;
             continue;
         }
@@ -154,6 +157,32 @@
         out.messages.emplace_back(std::get<Incarnation>(target), std::move(message));
 }
 
+Duration RunDispatcher::expectedRunTime(const KeyedJob &job, std::uint32_t step, bool far) const
+{
+    const double factor = far ? m_settings.farFactor : 1;
+    return std::chrono::duration_cast<Duration>(job.outlook.runTimes[step] * factor);
+}
+
+Duration RunDispatcher::nearRunTime(const KeyedTask &task, Duration runTime) const
+{
+    const double factor = task.far ? m_settings.farFactor : 1;
+    return std::chrono::duration_cast<Duration>(runTime / factor);
+}
+
+std::vector<Incarnation> RunDispatcher::fullAgents(const KeyedJob &job, std::uint32_t step)
+{
+    const std::uint32_t most = job.spec.steps[step].mostPerWorker;
+    std::vector<Incarnation> full;
+    if (most == 0)
+        return full;
+    std::map<Incarnation, std::uint32_t> counts;
+    for (const KeyedTask &task : job.tasks[step]) {
+        if (task.phase == TaskPhase::Ordered && ++counts[task.agent] == most)
+            full.push_back(task.agent);
+    }
+    return full;
+}
+
 void RunDispatcher::order(TimePoint now, KeyedJob &job, const TaskRef &ref,
                           const Placement &placement, Batches &batches)
 {
@@ -162,6 +191,7 @@
     const KeyedStep &step = job.spec.steps[ref.step];
     task.phase = TaskPhase::Ordered;
     task.agent = agent;
+    task.far = placement.far;
     // Numbers of a task rise; the job's counter keeps them apart from those of earlier runs.
     const std::uint64_t skipped = task.returned * ReturnedRunStep;
     task.run = RunNumber(std::max(task.run, job.lastRun).value() + 1 + skipped);
@@ -180,7 +210,7 @@
         message.timeLeft = std::max(job.objective - now, Duration(0));
     }
     message.orders.push_back({ref.index, task.run, m_board.book(agent, step.need),
-                              job.outlook.runTimes[ref.step], placement.ahead});
+                              expectedRunTime(job, ref.step, placement.far), placement.ahead});
 }
 
 void RunDispatcher::callerLeft(TimePoint now, CallId call, DispatchOutbox &out)
@@ -327,7 +357,7 @@
         ++m_statistics.runsDone;
         task->phase = TaskPhase::Done;
         --job.tasksLeft;
-        m_forecast.record(job, ref.step, ended.runTime);
+        m_forecast.record(job, ref.step, nearRunTime(*task, ended.runTime));
         break;
     }
     case RunResult::Failed:
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -53,6 +53,8 @@
     std::size_t maxJobs = 20'000;
     // Until a caller that set no deadline gives up.
     Duration defaultTimeout{30'000'000};
+    // Tasks take this many times as long away from the rack of their data.
+    double farFactor = 1;
     // Share of the time that a job can spare which it may spend waiting. The rest is for the way,
     // for the run that ends before, and for run times that are longer than expected: without it, a
     // queue under overload would start every job just too late.
@@ -140,6 +142,12 @@
     void unblockSteps(KeyedJob &job);
     void makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index);
     void dispatch(TimePoint now, DispatchOutbox &out);
+    // Agents that have as many tasks of the step as one worker may.
+    static std::vector<Incarnation> fullAgents(const KeyedJob &job, std::uint32_t step);
+    // Of a run near or away from the task's data, on a worker of ordinary speed.
+    Duration expectedRunTime(const KeyedJob &job, std::uint32_t step, bool far) const;
+    // What a run of this length would have taken near the task's data.
+    Duration nearRunTime(const KeyedTask &task, Duration runTime) const;
     void order(TimePoint now, KeyedJob &job, const TaskRef &ref, const Placement &placement,
                Batches &batches);
     void runEnded(TimePoint now, const EndedRun &ended, Incarnation agent, DispatchOutbox &out);
--- a/source/core/workerboard.cpp
+++ b/source/core/workerboard.cpp
@@ -14,6 +14,11 @@
         && room->free.accelerators >= pendingNeed.accelerators + need.accelerators;
 }
 
+bool BoardEntry::hasLabel(const std::string &label) const
+{
+    return std::find(room->labels.begin(), room->labels.end(), label) != room->labels.end();
+}
+
 std::int64_t BoardEntry::overcommitted() const
 {
     const std::int64_t reported = room->overcommittedMilliProcessors;
--- a/source/core/workerboard.h
+++ b/source/core/workerboard.h
@@ -43,6 +43,8 @@
         return linked && room && room->accepting && room->service == service;
     }
     bool fits(const ResourceNeed &need) const;
+    // The labels name the kind of the worker and its rack.
+    bool hasLabel(const std::string &label) const;
     // Processors ordered beyond the room of the worker.
     std::int64_t overcommitted() const;
     // Time that this worker takes for a run of this expected time.
--- a/source/core/workerchoice.h
+++ b/source/core/workerchoice.h
@@ -2,13 +2,16 @@
 // different speed and size that start whatever they are told to.
 #pragma once
 
+#include "core/keyedjob.h"
 #include "core/workerboard.h"
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <limits>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Bluebellquay {
 
@@ -16,8 +19,13 @@
 struct PlacementRequest
 {
     const std::string &service;
-    const ResourceNeed &need;
+    const KeyedStep &step;
+    // On a worker of ordinary speed near the data.
     Duration expected{0};
+    // Tasks take this many times as long away from their data.
+    double farFactor = 1;
+    // Agents that have as many tasks of the step as one worker may.
+    const std::vector<Incarnation> &excluded;
     // Data centre of the home.
     const std::string &dataCentre;
     // Agent that has returned or lost this task before; chosen only if no other one fits.
@@ -32,6 +40,8 @@
     Incarnation agent;
     // It is known to have no room: the order is sent ahead, to be started when a run ends.
     bool ahead = false;
+    // It is away from the task's data.
+    bool far = false;
 };
 
 template <typename Policy>
@@ -66,13 +76,13 @@
         std::optional<Placement> best;
         double bestCost = std::numeric_limits<double>::max();
         for (const auto &[incarnation, entry] : board.entries()) {
-            if (!entry.usable(request.service))
+            if (!entry.usable(request.service) || !mayRun(entry, request))
                 continue;
-            const bool ahead = !entry.fits(request.need);
+            const bool ahead = !entry.fits(request.step.need);
             const double cost = ahead ? costAhead(entry, request) : costNow(entry, request);
             if (cost < bestCost) {
                 bestCost = cost;
-                best = Placement{incarnation, ahead};
+                best = Placement{incarnation, ahead, isFar(entry, request)};
             }
         }
         return best;
@@ -83,9 +93,26 @@
     static constexpr double Unfit = std::numeric_limits<double>::max();
     static constexpr double QueuedCost = 0.5;
 
+    static bool mayRun(const BoardEntry &entry, const PlacementRequest &request)
+    {
+        const std::string &label = request.step.requiredLabel;
+        if (!label.empty() && !entry.hasLabel(label))
+            return false;
+        const auto &excluded = request.excluded;
+        return std::find(excluded.begin(), excluded.end(), entry.agent.incarnation)
+            == excluded.end();
+    }
+
+    static bool isFar(const BoardEntry &entry, const PlacementRequest &request)
+    {
+        const std::string &rack = request.step.dataRack;
+        return !rack.empty() && !entry.hasLabel(rack);
+    }
+
     static double expectedTime(const BoardEntry &entry, const PlacementRequest &request)
     {
-        return static_cast<double>(entry.predicted(request.expected).count());
+        const double factor = isFar(entry, request) ? request.farFactor : 1;
+        return static_cast<double>(entry.predicted(request.expected).count()) * factor;
     }
 
     static double processors(const BoardEntry &entry)
@@ -107,7 +134,7 @@
     {
         const double total = processors(entry);
         const double ahead = static_cast<double>(entry.overcommitted());
-        if (entry.room->probation || ahead + request.need.milliProcessors > total * queueAhead)
+        if (entry.room->probation || ahead + request.step.need.milliProcessors > total * queueAhead)
             return Unfit;
         // Half a run is the mean time until one of the runs ahead ends.
         return expectedTime(entry, request) * (1 + QueuedCost + ahead / total)
--- a/tests/dispatch/rundispatchertest.cpp
+++ b/tests/dispatch/rundispatchertest.cpp
@@ -35,20 +35,22 @@
         dispatcher.agentUp(now, info, out);
         room(agent, cpu);
     }
-    void room(Incarnation agent, std::uint32_t cpu, std::uint64_t lastOrder = 0)
+    void room(Incarnation agent, std::uint32_t cpu, std::uint64_t lastOrder = 0,
+              std::vector<std::string> labels = {})
     {
         WorkerRoom report;
         report.sequence = ++reports;
         report.accepting = true;
         report.settled = true;
         report.service = "archive";
+        report.labels = std::move(labels);
         report.total = {64'000, 128'000'000'000ULL, 0};
         report.free = {cpu, 128'000'000'000ULL, 0};
         report.lastOrder = OrderNumber(lastOrder);
         dispatcher.handle(now, agent, report, out);
     }
-    CallId submit(std::uint64_t key, std::uint32_t tasks, std::uint32_t cpu = 6'000,
-                  Duration timeout = 2s)
+    // A job of one step with these tasks of 100 ms.
+    static KeyedJobSpec job(std::uint64_t key, std::uint32_t tasks, std::uint32_t cpu = 6'000)
     {
         KeyedJobSpec spec;
         spec.key = JobKey(key);
@@ -57,10 +59,19 @@
         step.need.milliProcessors = cpu;
         step.declaredRunTime = 100ms;
         spec.steps.push_back(step);
+        return spec;
+    }
+    CallId submit(KeyedJobSpec spec, Duration timeout = 2s)
+    {
         const CallId call(++lastCall);
-        dispatcher.submit(now, call, spec, rule, timeout, RunNumber(0), out);
+        dispatcher.submit(now, call, std::move(spec), rule, timeout, RunNumber(0), out);
         return call;
     }
+    CallId submit(std::uint64_t key, std::uint32_t tasks, std::uint32_t cpu = 6'000,
+                  Duration timeout = 2s)
+    {
+        return submit(job(key, tasks, cpu), timeout);
+    }
     std::vector<std::pair<Incarnation, RunKey>> orders() const
     {
         std::vector<std::pair<Incarnation, RunKey>> found;
@@ -291,3 +302,76 @@
     ended(Agent, sent[0].second, RunResult::Stopped);
     CHECK(replied());
 }
+
+TEST_CASE_METHOD(DispatcherFixture, "a task runs only on a worker that has the required label")
+{
+    link(Agent, "a");
+    link(OtherAgent, "b");
+    room(Agent, 64'000, 0, {"a", "r1-1"});
+    KeyedJobSpec spec = job(1, 2);
+    spec.steps[0].requiredLabel = "b";
+    submit(spec);
+    CHECK(orders().empty());
+    room(OtherAgent, 64'000, 0, {"b", "r1-2"});
+    REQUIRE(orders().size() == 2);
+    for (const auto &[agent, run] : orders())
+        CHECK(agent == OtherAgent);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "no more tasks of a step are on a worker than the step allows")
+{
+    link(Agent, "a");
+    KeyedJobSpec spec = job(1, 3);
+    spec.steps[0].mostPerWorker = 1;
+    submit(spec);
+    REQUIRE(orders().size() == 1);
+    const RunKey first = orders().front().second;
+    link(OtherAgent, "b");
+    REQUIRE(orders().size() == 2);
+    CHECK(orders().back().first == OtherAgent);
+    clear();
+    // A run that is being stopped still counts; an end makes place for the last task.
+    ended(Agent, first, RunResult::Done);
+    REQUIRE(orders().size() == 1);
+    CHECK(orders().front().first == Agent);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "a step that no worker may run does not hold up others")
+{
+    link(Agent, "a");
+    KeyedJobSpec spec = job(1, 1, 1'000);
+    spec.steps[0].requiredLabel = "c";
+    submit(spec);
+    CHECK(orders().empty());
+    submit(2, 1);
+    CHECK(orders().size() == 1);
+}
+
+TEST_CASE("tasks go to the rack of their data while it has room, and elsewhere when it has none")
+{
+    RunDispatcherSettings settings;
+    settings.farFactor = 2;
+    DispatcherFixture site;
+    site.dispatcher = RunDispatcher(settings);
+    site.link(Agent, "a");
+    site.link(OtherAgent, "b");
+    site.room(Agent, 64'000, 0, {"a", "r1-1"});
+    site.room(OtherAgent, 64'000, 0, {"a", "r1-2"});
+    site.clear();
+    KeyedJobSpec spec = DispatcherFixture::job(1, 12);
+    spec.steps[0].dataRack = "r1-2";
+    site.submit(spec);
+    const auto orders = site.orders();
+    REQUIRE(orders.size() == 12);
+    const auto near = std::count_if(orders.begin(), orders.end(),
+                                    [](const auto &order) { return order.first == OtherAgent; });
+    // Ten fit near the data.
+    CHECK(near >= 10);
+    for (const auto &[to, message] : site.out.messages) {
+        const auto *start = std::get_if<StartRuns>(&message);
+        if (start == nullptr)
+            continue;
+        for (const RunOrder &order : start->orders)
+            CHECK(order.expectedRunTime == (to == OtherAgent ? 100ms : 200ms));
+    }
+}
--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -70,6 +70,21 @@
     CHECK(job->steps[1].after == std::vector<std::uint32_t>{0});
 }
 
+TEST_CASE("what a step asks of its workers is decoded")
+{
+    const auto decoded =
+        decodeJob(JobKey(1),
+                  R"({"bestEffort":true,"steps":[{"count":4,"requirements":"b","affinity":"r1-3",)"
+                  R"("antiAffinity":2,"speculative":true},{"count":1}]})");
+    const auto *job = std::get_if<KeyedJobSpec>(&decoded);
+    REQUIRE(job != nullptr);
+    CHECK(job->steps[0].requiredLabel == "b");
+    CHECK(job->steps[0].dataRack == "r1-3");
+    CHECK(job->steps[0].mostPerWorker == 2);
+    CHECK_FALSE(job->steps[0].anyWorkerWillDo());
+    CHECK(job->steps[1].anyWorkerWillDo());
+}
+
 TEST_CASE("jobs that are malformed or of a kind that is not built are told apart")
 {
     const auto kindOf = [](std::string_view body) -> std::optional<JobRejection::Kind> {
@@ -86,6 +101,8 @@
     CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"cpu":"1"}]})") == Malformed);
     CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"after":[0]}]})") == Malformed);
     CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":0}]})") == Malformed);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"affinity":3}]})") == Malformed);
+    CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"antiAffinity":"x"}]})") == Malformed);
     CHECK(kindOf(R"({"steps":[{"count":1}]})") == Unsupported);
     CHECK(kindOf(R"({"bestEffort":true,"longRunning":true,"steps":[{"count":1}]})") == Unsupported);
     CHECK(kindOf(R"({"bestEffort":true,"steps":[{"count":1,"gang":true}]})") == Unsupported);
--- a/tests/platform/platformsettingstest.cpp
+++ b/tests/platform/platformsettingstest.cpp
@@ -31,7 +31,11 @@
                                                        {"bounds.holdMaxMs", "1000"},
                                                        {"bounds.stopMs", "50"},
                                                        {"bounds.retransmitMs", "1300"},
-                                                       {"bounds.graceS", "6"},
+                                                       {"bounds.graceS", "6.5"},
+                                                       {"#bounds.farX", ""},
+                                                       {"bounds.farX", "1.5"},
+                                                       {"/bounds.farX", ""},
+                                                       {"orders", "invocation"},
                                                        {"listenAddrs.front", "10.1.0.13:8161"},
                                                        {"listenAddrs.ready", "10.1.0.13:8167"},
                                                        {"listenAddrs.control", "10.1.0.13:8166"}};
@@ -70,7 +74,8 @@
         load<PlatformEntrySettings>(filledTemplate("deploy/entry.toml"), findings);
     INFO(findings);
     REQUIRE(settings);
-    CHECK(settings->process.bounds.stopGrace == 6s);
+    CHECK(settings->process.bounds.stopGrace == 6500ms);
+    CHECK(settings->farFactor == 1.5);
     CHECK(settings->process.bounds.resubmission == 1300ms);
     CHECK(settings->frontListen.port() == 8161);
     CHECK_FALSE(settings->process.peerSecret().empty());
@@ -95,6 +100,33 @@
     CHECK(findings.find("store_address") != std::string::npos);
 }
 
+TEST_CASE("a way of giving orders that is not served is refused with a reason")
+{
+    std::string text = filledTemplate("deploy/agent.toml");
+    text = replaced(text, "\"invocation\"", "\"heartbeat\"");
+    std::string findings;
+    CHECK_FALSE(load<PlatformAgentSettings>(text, findings));
+    CHECK(findings.find("orders") != std::string::npos);
+    CHECK(findings.find("invocation") != std::string::npos);
+}
+
+// Another deployment may have longer leases; a home must wait for them all the same.
+TEST_CASE("an agent is given up only when its longest lease has run out")
+{
+    PlatformBounds bounds;
+    for (const Duration lease : {Duration(500ms), Duration(1s), Duration(4s)}) {
+        bounds.longestLease = lease;
+        bounds.resubmission = lease + 1s;
+        CHECK(agentGoneAfter(bounds) > SilenceTimeout + AbsenceGrace + lease * 102 / 100);
+        CHECK(boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_CHECK(checkTimes(bounds));
+                return true;
+            },
+            [] { return false; }));
+    }
+}
+
 TEST_CASE("deployments have different secrets")
 {
     CommonSettings one;
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -77,7 +77,7 @@
         + "metrics_listen = \"127.0.0.1:0\"\npeer_realm = \"soak\"\nstore_address = \"127.0.0.1:"
         + std::to_string(m_store.port()) + "\"\n"
         + "longest_lease_ms = 1000\nstop_duration_ms = 50\nresubmission_ms = 1300\n"
-          "stop_grace_ms = 6000\n";
+          "stop_grace_s = 6\n";
 }
 
 void PlatformSoak::addEntry(std::size_t number)
