--- a/source/net/messagefields.h
+++ b/source/net/messagefields.h
@@ -138,10 +138,9 @@
 inline constexpr auto WireFields<RunKey> = std::make_tuple(&RunKey::job, &RunKey::step,
                                                            &RunKey::index, &RunKey::run);
 template <>
-inline constexpr auto WireFields<RunOrder> = std::make_tuple(&RunOrder::index, &RunOrder::run,
-                                                             &RunOrder::order,
-                                                             &RunOrder::expectedRunTime,
-                                                             &RunOrder::mayWait);
+inline constexpr auto
+    WireFields<RunOrder> = std::make_tuple(&RunOrder::index, &RunOrder::run, &RunOrder::order,
+                                           &RunOrder::expectedRunTime, &RunOrder::mayWait);
 template <>
 inline constexpr auto WireFields<EndedRun> = std::make_tuple(&EndedRun::run, &EndedRun::end,
                                                              &EndedRun::runTime);
--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "net/peerlink.h"
 
 #include "kernel/log.h"
+#include "kernel/suspension.h"
 
 #include <boost/core/ref.hpp>
 #include <boost/leaf.hpp>
@@ -25,6 +26,7 @@
     , m_dialedAddress(std::move(dialedAddress))
     , m_state(boost::ref(static_cast<LinkActions &>(*this)))
     , m_lastReceived(context.timers.now())
+    , m_suspendedBefore(suspendedTime())
     , m_heartbeatPlan(context.settings.heartbeatInterval, context.settings.longestHeartbeatGap)
 { }
 
@@ -169,7 +171,14 @@
 {
     if (m_ended)
         return;
+    // A process that was paused finds the frames that arrived meanwhile before its own timer. What
+    // they ask for may be long out of date: the peer has given this process up.
+    if (silentFor() >= m_context.settings.silenceTimeout) {
+        m_state.process_event(LinkEvents::Failed{LinkEnd::Silent});
+        return;
+    }
     m_lastReceived = m_context.timers.now();
+    m_suspendedBefore = suspendedTime();
     m_context.metrics.frameReceived();
     std::optional<DecodeError> rejected;
     DecodedFrame decoded = boost::leaf::try_handle_all(
@@ -247,6 +256,11 @@
         m_context.metrics.roundTrip(std::chrono::duration<double>(Duration(now - sent)).count());
 }
 
+Duration PeerLink::silentFor() const
+{
+    return m_context.timers.now() - m_lastReceived + suspendedTime() - m_suspendedBefore;
+}
+
 void PeerLink::watchForSilence(TimePoint deadline)
 {
     m_silence = m_context.timers.at(deadline, [weak = weak_from_this()](TimePoint now) {
--- a/source/net/peerlink.h
+++ b/source/net/peerlink.h
@@ -100,6 +100,8 @@
     void onPong(std::string_view payload);
     void deliver(DecodedFrame frame);
     bool acceptHello(Message &message);
+    // Time since the last frame, with the time for which the machine was suspended.
+    Duration silentFor() const;
     void watchForSilence(TimePoint deadline);
     void startHeartbeats();
 
@@ -121,6 +123,8 @@
     std::optional<LinkEnd> m_stopReason;
 
     TimePoint m_lastReceived;
+    // suspendedTime() when the last frame was received.
+    Duration m_suspendedBefore;
     TimePoint m_lastFrameSent{};
     HeartbeatPlan m_heartbeatPlan;
     TimerSubscription m_silence;
--- a/tests/net/peernodetest.cpp
+++ b/tests/net/peernodetest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace Bluebellquay;
 using namespace Bluebellquay::Testing;
 
@@ -51,3 +53,34 @@
     CHECK(right.closed("peer_closed") == 1);
     CHECK(left.closed("stopping") == 1);
 }
+
+// Seen on hinokuni-archive with deploy/days/agents-freeze-and-wake.toml: an agent that woke after
+// three seconds carried out an order whose task its home had started elsewhere meanwhile.
+TEST_CASE("what arrived while a process was paused for longer than a silence is dropped", "[net]")
+{
+    constexpr Duration Silence{100'000};
+    const auto quickSilence = [Silence](PeerNodeSettings &settings) {
+        settings.silenceTimeout = Silence;
+        settings.heartbeatInterval = Silence / 5;
+    };
+    boost::asio::io_context senderContext;
+    boost::asio::io_context pausedContext;
+    TimerService senderTimers(senderContext);
+    TimerService pausedTimers(pausedContext);
+    TestPeer sender(senderContext, senderTimers, 1, quickSilence);
+    TestPeer paused(pausedContext, pausedTimers, 2, quickSilence);
+    sender.node->dial(paused.address());
+    REQUIRE(runUntil(senderContext, [&] {
+        pausedContext.restart();
+        pausedContext.poll();
+        return !sender.ups.empty() && !paused.ups.empty();
+    }));
+    REQUIRE(sender.node->send(Incarnation(2), Drain{Correlation(7)}));
+    senderContext.restart();
+    senderContext.poll();
+    // Only a lower bound matters: the message waits in the socket for at least this long.
+    std::this_thread::sleep_for(2 * Silence);
+    REQUIRE(runUntil(pausedContext, [&] { return !paused.downs.empty(); }));
+    CHECK(paused.received.empty());
+    CHECK(paused.closed("silent") == 1);
+}
