Refuse jobs of queues with advice; let the soak pause processes for longer and check stops

Cause: starts on a queue with advice need a ticket that nobody asks for, so its jobs would have been tried until they were hopeless. The soak paused processes for at most 2.5 s, too short to find orders that are carried out after a pause, and a fault of a link cancelled the restart of its process. Change: such queues are known as not served, with the reason. The soak pauses for up to 4 s, leaves processes that stop or pause to it, reports a stopped process that is still running after its grace time, and its sizes can be set.

--- a/source/core/queuerules.h
+++ b/source/core/queuerules.h
@@ -27,6 +27,8 @@
     double slackFactor = 1;
     Duration allowance{0};
     Duration timeout{0};
+    // Why jobs of this queue are refused; empty if they are served.
+    std::string notServed;
 };
 
 class QueueRules
--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -135,6 +135,17 @@
     CHECK(rules.find("a.example", "/x/1")->allowance == 60ms);
 }
 
+TEST_CASE("a queue that can't be served is known with the reason, its neighbours are served")
+{
+    const auto decoded = decodeConfig(
+        R"({"version":1,"routes":[{"name":"r-1","host":"h","pathPrefix":"/x/","service":"s",)"
+        R"("advice":{"decisionMs":20,"periodMs":1,"validityMs":900}},)"
+        R"({"name":"r-2","host":"h","pathPrefix":"/y/","service":"s"}]})");
+    REQUIRE(decoded);
+    CHECK_FALSE(decoded->rules.find("h", "/x/1")->notServed.empty());
+    CHECK(decoded->rules.find("h", "/y/1")->notServed.empty());
+}
+
 TEST_CASE("a bad route is left out with its place, the others hold")
 {
     const auto decoded = decodeConfig(
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -17,6 +17,9 @@
 constexpr Duration CallerPatience{3'500'000};
 constexpr Duration ReadyTimeout{15'000'000};
 constexpr Duration SettleTime{6'000'000};
+constexpr Duration StopGrace{6'000'000};
+// Longer than the leases of all runs and the patience of homes and agents.
+constexpr Duration LongestPause{4'000'000};
 const char *const Config =
     R"({"version":%,"routes":[{"name":"r-1","host":"a.example","pathPrefix":"/x/","type":"unsafe",)"
     R"("timeoutMs":1500,"objectiveMs":60,"priority":0,"service":"archive","maxAttempts":3,)"
@@ -119,6 +122,7 @@
 void PlatformSoak::startProcess(Process &process)
 {
     process.stopping = false;
+    process.paused = false;
     process.child.emplace(process.command, m_settings.folder + '/' + process.name + ".log");
 }
 
@@ -272,6 +276,9 @@
 
 void PlatformSoak::disturbProcess(Process &process)
 {
+    // A paused process can't stop, and one that stops, or is about to start, is left to it.
+    if (process.stopping || process.paused || !process.child->running())
+        return;
     const TimePoint back = m_timers.now() + Duration(pick(100'000, 2'500'000));
     switch (pick(0, 2)) {
     case 0:
@@ -282,12 +289,20 @@
         process.child->signal(SIGTERM);
         process.stopping = true;
         // The platform kills it after the grace time and starts it again.
-        process.next = m_timers.at(m_timers.now() + std::chrono::milliseconds(6'000),
-                                   [this, &process](TimePoint) { startProcess(process); });
+        process.next = m_timers.at(m_timers.now() + StopGrace, [this, &process](TimePoint) {
+            if (process.child->running())
+                m_judge.report("still running after its grace time: " + process.name);
+            startProcess(process);
+        });
         return;
     default:
         process.child->signal(SIGSTOP);
-        process.next = m_timers.at(back, [&process](TimePoint) { process.child->signal(SIGCONT); });
+        process.paused = true;
+        process.next = m_timers.at(m_timers.now() + Duration(pick(100'000, LongestPause.count())),
+                                   [&process](TimePoint) {
+                                       process.child->signal(SIGCONT);
+                                       process.paused = false;
+                                   });
     }
 }
 
@@ -310,7 +325,7 @@
     default:
         process.relay->delay(std::chrono::milliseconds(pick(5, 80)));
     }
-    process.next = m_timers.at(back, [&process](TimePoint) { process.relay->pass(); });
+    process.linkRepair = m_timers.at(back, [&process](TimePoint) { process.relay->pass(); });
 }
 
 void PlatformSoak::disturbStore()
@@ -373,7 +388,9 @@
         for (const auto &process : *processes) {
             process->relay->pass();
             process->next.cancel();
+            process->linkRepair.cancel();
             process->child->signal(SIGCONT);
+            process->paused = false;
             if (process->stopping || !process->child->running())
                 startProcess(*process);
         }
--- a/tests/soak/platformsoak.h
+++ b/tests/soak/platformsoak.h
@@ -66,7 +66,11 @@
         std::shared_ptr<FaultRelay> relay;
         // Was told to stop and is to be started again.
         bool stopping = false;
+        // Stands still until it is woken.
+        bool paused = false;
+        // Ends a pause, a kill or a stop.
         TimerSubscription next;
+        TimerSubscription linkRepair;
     };
     struct Job
     {
--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -1,5 +1,6 @@
-// Plays the soak with a fixed seed. More seeds by hand:
+// Plays the soak with a fixed seed. More seeds, and larger sites, by hand:
 //   BLUEBELLQUAY_SOAK_SEEDS="1 2 3" BLUEBELLQUAY_SOAK_SECONDS=20 build/release/tests/soak/test_soak
+//   BLUEBELLQUAY_SOAK_ENTRIES=13 BLUEBELLQUAY_SOAK_AGENTS=74 BLUEBELLQUAY_SOAK_JOB_GAP_MS=5 ...
 #include "config/temporaryfile.h"
 #include "soak/platformsoak.h"
 
@@ -24,10 +25,23 @@
     return found;
 }
 
-Duration length()
+int numberFrom(const char *variable, int fallback)
 {
-    const char *text = std::getenv("BLUEBELLQUAY_SOAK_SECONDS");
-    return std::chrono::seconds(text != nullptr ? std::atoi(text) : 8);
+    const char *text = std::getenv(variable);
+    return text != nullptr ? std::atoi(text) : fallback;
+}
+
+SoakSettings settingsOf(std::uint64_t seed)
+{
+    SoakSettings settings;
+    settings.seed = seed;
+    settings.length = std::chrono::seconds(numberFrom("BLUEBELLQUAY_SOAK_SECONDS", 8));
+    settings.entries = static_cast<std::size_t>(numberFrom("BLUEBELLQUAY_SOAK_ENTRIES", 2));
+    settings.agents = static_cast<std::size_t>(numberFrom("BLUEBELLQUAY_SOAK_AGENTS", 3));
+    settings.jobGap = std::chrono::milliseconds(numberFrom("BLUEBELLQUAY_SOAK_JOB_GAP_MS", 40));
+    settings.faultGap =
+        std::chrono::milliseconds(numberFrom("BLUEBELLQUAY_SOAK_FAULT_GAP_MS", 700));
+    return settings;
 }
 
 } // namespace
@@ -36,9 +50,7 @@
 {
     for (const std::uint64_t seed : seeds()) {
         const TemporaryFolder folder;
-        SoakSettings settings;
-        settings.seed = seed;
-        settings.length = length();
+        SoakSettings settings = settingsOf(seed);
         settings.folder = folder.path();
         PlatformSoak soak(settings);
         const SoakReport report = soak.run();
