--- a/source/core/overloadrule.h
+++ b/source/core/overloadrule.h
@@ -32,13 +32,17 @@
     static constexpr Duration LongestWait{60'000'000};
     static constexpr Duration ShortestRetryAfter{1'000'000};
     static constexpr Duration LongestRetryAfter{10'000'000};
+    // Arrivals swing within seconds: even while as much arrives as the workers do, this share of
+    // them is expected to be left for what waits.
+    static constexpr double LeastShareLeft = 0.25;
     // Callers are asked to come back within this share of the time after one another.
     static constexpr double RetrySpread = 0.5;
 
     // Time in which the workers would do the waiting work beside the work that keeps arriving.
     Duration expectedWait(const ServiceLoad &load) const
     {
-        const double left = load.milliProcessors - load.arrivingWork;
+        const double left = std::max(load.milliProcessors - load.arrivingWork,
+                                     load.milliProcessors * LeastShareLeft);
         if (left <= 0 || load.waitingWork / left > static_cast<double>(LongestWait.count()))
             return LongestWait;
         return Duration(static_cast<Duration::rep>(load.waitingWork / left));
