Refuse on arrival what can't be served in time behind a standing queue

Cause: a job behind a queue of several seconds was told so only when it had become late, half of its spare time after its arrival. Change: the rule for hopeless jobs is applied on arrival, too. Tests: "what can't be served any more is refused on arrival" (failed first).

--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -65,9 +65,13 @@
         out.answers.push_back({call, refusal(now, job, Reason::Stopping)});
         return;
     }
-    m_calls[call] = job.spec.key;
+    const JobKey key = job.spec.key;
+    m_calls[call] = key;
     open(now, std::move(job));
     dispatch(now, out);
+    KeyedJob &opened = m_jobs.at(key);
+    if (opened.ordersSent == 0)
+        refuseIfHopeless(now, opened, out);
 }
 
 void RunDispatcher::open(TimePoint now, KeyedJob opened)
@@ -90,8 +94,7 @@
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
     unblockSteps(job);
-    const TimePoint useless = job.arrived + objective * UsefulLateness;
-    const TimePoint hopeless = std::min(useless, job.deadline) - chain;
+    const TimePoint hopeless = uselessAt(job) - chain;
     m_timers.schedule(job.latestStart, Timer{TimerKind::Late, {key, 0, 0}, {}});
     m_timers.schedule(std::max(now, hopeless), Timer{TimerKind::Hopeless, {key, 0, 0}, {}});
     m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
@@ -548,18 +551,31 @@
         }
     }
     job.rank = m_settings.order.rank(now, job);
-    const Duration objective = job.objective - job.arrived;
-    const TimePoint useless = std::min(job.arrived + objective * UsefulLateness, job.deadline);
-    // Whoever can hardly be served any more is told so now, not when it is certain.
-    if (m_settings.overload.hopeless(loadBefore(now, job), job.outlook.chain, useless - now)) {
-        finish(now, job, refusal(now, job, Reason::Overload), out);
-        return closeIfOver(now, key, out);
-    }
+    if (refuseIfHopeless(now, job, out))
+        return;
     for (const TaskRef &ref : waiting)
         makeReady(job, ref.step, ref.index);
     m_timers.schedule(now + LateCheckInterval, Timer{TimerKind::Late, {key, 0, 0}, {}});
 }
 
+bool RunDispatcher::refuseIfHopeless(TimePoint now, KeyedJob &job, DispatchOutbox &out)
+{
+    // Whoever can hardly be served any more is told so now, not when it is certain.
+    const Duration left = uselessAt(job) - now;
+    if (!m_settings.overload.hopeless(loadBefore(now, job), job.outlook.chain, left))
+        return false;
+    const JobKey key = job.spec.key;
+    finish(now, job, refusal(now, job, Reason::Overload), out);
+    closeIfOver(now, key, out);
+    return true;
+}
+
+TimePoint RunDispatcher::uselessAt(const KeyedJob &job)
+{
+    const Duration objective = job.objective - job.arrived;
+    return std::min(job.arrived + objective * UsefulLateness, job.deadline);
+}
+
 ServiceLoad RunDispatcher::loadBefore(TimePoint now, const KeyedJob &job) const
 {
     ServiceLoad load;
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -157,6 +157,10 @@
     void release(KeyedJob &job, DispatchOutbox &out);
     void closeIfOver(TimePoint now, JobKey key, DispatchOutbox &out);
     void agentGone(TimePoint now, Incarnation agent, DispatchOutbox &out);
+    // Refuses a job that has not begun if it would come too late to be of use.
+    bool refuseIfHopeless(TimePoint now, KeyedJob &job, DispatchOutbox &out);
+    // From then on the result is of no use to the caller.
+    static TimePoint uselessAt(const KeyedJob &job);
     // The job can't be done in time any more and has not begun.
     void becomeLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
     ServiceLoad loadBefore(TimePoint now, const KeyedJob &job) const;
--- a/tests/dispatch/dispatchscheduletest.cpp
+++ b/tests/dispatch/dispatchscheduletest.cpp
@@ -106,7 +106,7 @@
 TEST_CASE("agents that let runs of silent homes go on are found out")
 {
     std::size_t violations = 0;
-    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed)
         violations += playSeed(seed, false).size();
     CHECK(violations > 0);
 }
--- a/tests/dispatch/rundispatchertest.cpp
+++ b/tests/dispatch/rundispatchertest.cpp
@@ -303,6 +303,23 @@
     CHECK(replied());
 }
 
+TEST_CASE_METHOD(DispatcherFixture, "what can't be served any more is refused on arrival")
+{
+    link(Agent, "a", 0);
+    // One task is ordered ahead, the others wait.
+    submit(1, 3);
+    pass(OverloadRule::StandingQueue);
+    // Three seconds of work for all processors of the only worker.
+    for (std::uint64_t key = 2; key < 300; ++key)
+        submit(key, 1);
+    clear();
+    const CallId last = submit(300, 1);
+    REQUIRE(out.answers.size() == 1);
+    CHECK(out.answers.front().call == last);
+    CHECK(out.answers.front().answer.outcome == Outcome::NotRun);
+    CHECK(out.answers.front().answer.retryAfter);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "a task runs only on a worker that has the required label")
 {
     link(Agent, "a");
