Refuse by half of the caller's time; without any worker nothing is hopeless

Cause: a job with a long objective could wait untried until shortly before its caller's deadline. Right after a loss of all power an entry knew no worker, took the wait for endless and told callers to come back in up to 15 s. Change: a job that has not begun by half of the time that its caller gave is refused. Without any worker the estimate of the wait says nothing: the job waits for the agents to link, and callers are asked to come back after a second.

--- a/source/core/overloadrule.h
+++ b/source/core/overloadrule.h
@@ -49,16 +49,19 @@
     }
 
     // Whether a job that takes this long once started would come too late, if it has this long left
-    // until its result is of no use.
+    // until its result is of no use. Without any worker nothing is known: they may be linked soon.
     bool hopeless(const ServiceLoad &load, Duration chain, Duration left) const
     {
-        return load.standing >= StandingQueue && expectedWait(load) + chain > left;
+        return load.milliProcessors > 0 && load.standing >= StandingQueue
+            && expectedWait(load) + chain > left;
     }
 
     // The key spreads callers that are refused at the same time.
     Duration retryAfter(const ServiceLoad &load, JobKey key) const
     {
-        const Duration wait = std::clamp(expectedWait(load), ShortestRetryAfter, LongestRetryAfter);
+        const Duration wait = load.milliProcessors > 0
+            ? std::clamp(expectedWait(load), ShortestRetryAfter, LongestRetryAfter)
+            : ShortestRetryAfter;
         const double place =
             static_cast<double>(key.value() % SpreadPlaces) / static_cast<double>(SpreadPlaces);
         return wait + std::chrono::duration_cast<Duration>(wait * (RetrySpread * place));
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -94,9 +94,11 @@
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
     unblockSteps(job);
-    const TimePoint hopeless = uselessAt(job) - chain;
+    // Whoever has not begun by half of the time is told, so that the caller can still go elsewhere.
+    const TimePoint halfTime = job.arrived + (job.deadline - job.arrived) / 2;
+    const TimePoint hopeless = std::max(now, std::min(uselessAt(job) - chain, halfTime));
     m_timers.schedule(job.latestStart, Timer{TimerKind::Late, {key, 0, 0}, {}});
-    m_timers.schedule(std::max(now, hopeless), Timer{TimerKind::Hopeless, {key, 0, 0}, {}});
+    m_timers.schedule(hopeless, Timer{TimerKind::Hopeless, {key, 0, 0}, {}});
     m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
 }
 
--- a/tests/dispatch/rundispatchertest.cpp
+++ b/tests/dispatch/rundispatchertest.cpp
@@ -320,6 +320,20 @@
     CHECK(out.answers.front().answer.retryAfter);
 }
 
+TEST_CASE_METHOD(DispatcherFixture,
+                 "a job that has not begun by half of its caller's time is refused")
+{
+    link(Agent, "a", 0);
+    KeyedJobSpec spec = job(1, 1, 7'000);
+    spec.steps[0].declaredRunTime = 1s;
+    submit(spec, 3s);
+    pass(1500ms - 1ms);
+    CHECK(out.answers.empty());
+    pass(1ms);
+    REQUIRE(out.answers.size() == 1);
+    CHECK(out.answers.front().answer.outcome == Outcome::NotRun);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "a task runs only on a worker that has the required label")
 {
     link(Agent, "a");
