--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -312,9 +312,9 @@
     if (message.settled) {
         // The worker beside this agent runs nothing that an earlier incarnation had started.
         std::vector<Incarnation> replaced;
-        for (const auto &[incarnation, other] : m_board.entries()) {
-            if (incarnation != agent && !other.linked && other.agent.name == entry->agent.name)
-                replaced.push_back(incarnation);
+        for (const Incarnation other : m_board.unlinked()) {
+            if (other != agent && m_board.find(other)->agent.name == entry->agent.name)
+                replaced.push_back(other);
         }
         for (const Incarnation incarnation : replaced)
             agentGone(now, incarnation, out);
--- a/source/core/workerboard.cpp
+++ b/source/core/workerboard.cpp
@@ -30,6 +30,7 @@
     BoardEntry &entry = m_entries[agent.incarnation];
     entry.agent = agent;
     entry.linked = true;
+    m_unlinked.erase(agent.incarnation);
     entry.room.reset();
     entry.pending.clear();
     entry.pendingNeed = ResourceNeed();
@@ -42,6 +43,13 @@
         return;
     position->second.linked = false;
     position->second.unlinkedSince = now;
+    m_unlinked.insert(agent);
+}
+
+void WorkerBoard::forget(Incarnation agent)
+{
+    m_entries.erase(agent);
+    m_unlinked.erase(agent);
 }
 
 bool WorkerBoard::report(Incarnation agent, const WorkerRoom &room)
--- a/source/core/workerboard.h
+++ b/source/core/workerboard.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Bluebellquay {
@@ -63,7 +64,7 @@
 
     void linkUp(const ProcessInfo &agent);
     void linkDown(TimePoint now, Incarnation agent);
-    void forget(Incarnation agent) { m_entries.erase(agent); }
+    void forget(Incarnation agent);
     // Returns false if the report is older than the one at hand.
     bool report(Incarnation agent, const WorkerRoom &room);
     // Books an order and returns its number.
@@ -71,6 +72,8 @@
 
     const BoardEntry *find(Incarnation agent) const;
     const Entries &entries() const { return m_entries; }
+    // Agents without a link, until they are forgotten.
+    const std::set<Incarnation> &unlinked() const { return m_unlinked; }
     // Whether a worker of the service could hold such a task if it were empty.
     bool anyCouldHold(const std::string &service, const ResourceNeed &need) const;
     // Processors of all linked workers of the service that take orders.
@@ -78,6 +81,7 @@
 
 private:
     Entries m_entries;
+    std::set<Incarnation> m_unlinked;
 };
 
 } // namespace Bluebellquay
--- a/tests/dispatch/dispatchscheduletest.cpp
+++ b/tests/dispatch/dispatchscheduletest.cpp
@@ -20,7 +20,7 @@
 class RandomSchedule
 {
 public:
-    explicit RandomSchedule(KeyedSiteSettings settings)
+    explicit RandomSchedule(const KeyedSiteSettings &settings)
         : m_site(settings)
         , m_settings(settings)
     { }
