Renew no lease for runs of an earlier agent; reports at 5 ms for each home again

Random schedule 132, "two runs at a time": an agent that was killed four milliseconds after its start had renewed the lease on its worker, so that a run of its predecessor went on for another second beside the run that the next home of the job had started after 1.3 s. Change: the ledger tells whether the lease may be renewed: not before the worker is known to run nothing of an earlier incarnation. The model worker of the tests renews as the real one: not for a mere look. The interval between reports is 5 ms for each home again. Tests: schedule 132 (failed first), "the lease is not renewed for runs of an earlier agent".

--- a/source/core/roomreports.h
+++ b/source/core/roomreports.h
@@ -24,9 +24,9 @@
 public:
     using Messages = std::vector<std::pair<Incarnation, Message>>;
 
-    // Between two reports to one home, for each home. Bounds the reports of an agent to 100 a
+    // Between two reports to one home, for each home. Bounds the reports of an agent to 200 a
     // second.
-    static constexpr Duration IntervalPerHome{10'000};
+    static constexpr Duration IntervalPerHome{5'000};
 
     void homeUp(Incarnation home) { m_homes.try_emplace(home); }
     void homeGone(Incarnation home) { m_homes.erase(home); }
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -129,7 +129,7 @@
         return;
     const std::uint64_t number = ++agent.renewals[slot];
     agent.worker->hold(
-        agent.lastSeen, agent.incarnation.value(), HoldWait,
+        agent.lastSeen, agent.incarnation.value(), HoldWait, agent.ledger->mayRenewLease(),
         [this, index, life, slot, number](const WorkerAccount &account, std::uint64_t lastEnd) {
             Agent &asker = *m_agents[index];
             if (!asker.up || asker.life != life)
@@ -165,7 +165,7 @@
 void KeyedSite::look(std::size_t index, std::uint64_t life)
 {
     Agent &agent = *m_agents[index];
-    agent.worker->hold(agent.lastSeen, agent.incarnation.value(), Duration(0),
+    agent.worker->hold(agent.lastSeen, agent.incarnation.value(), Duration(0), false,
                        [this, index, life](const WorkerAccount &account, std::uint64_t lastEnd) {
                            Agent &asker = *m_agents[index];
                            if (!asker.up || asker.life != life)
--- a/tests/dispatch/modelworker.cpp
+++ b/tests/dispatch/modelworker.cpp
@@ -150,16 +150,17 @@
         [answer] { answer(true); });
 }
 
-void ModelWorker::hold(std::uint64_t lastSeen, std::uint64_t token, Duration wait,
+void ModelWorker::hold(std::uint64_t lastSeen, std::uint64_t token, Duration wait, bool renews,
                        const std::function<void(const WorkerAccount &, std::uint64_t)> &answer)
 {
     const TimePoint askedAt = m_clock.now();
     deliver(
-        [this, lastSeen, token, wait, answer, askedAt] {
+        [this, lastSeen, token, wait, renews, answer, askedAt] {
             if (token < m_token)
                 return;
             m_token = token;
-            renew(askedAt + m_settings.lease);
+            if (renews)
+                renew(askedAt + m_settings.lease);
             std::erase_if(m_ended, [&](const Ended &ended) { return ended.number <= lastSeen; });
             m_holds.push_back({lastSeen, askedAt, answer});
             if (!m_ended.empty() || wait == Duration(0))
--- a/tests/dispatch/modelworker.h
+++ b/tests/dispatch/modelworker.h
@@ -70,8 +70,8 @@
     void start(const RunKey &run, std::uint64_t token,
                const std::function<void(StartAnswer)> &answer);
     void stop(const RunKey &run, std::uint64_t token, const std::function<void(bool)> &answer);
-    // Renews the lease and answers at the next end or after the wait.
-    void hold(std::uint64_t lastSeen, std::uint64_t token, Duration wait,
+    // Renews the lease, if it is to, and answers at the next end or after the wait.
+    void hold(std::uint64_t lastSeen, std::uint64_t token, Duration wait, bool renews,
               const std::function<void(const WorkerAccount &, std::uint64_t lastEnd)> &answer);
 
     void standStill(bool still);
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -205,6 +205,20 @@
     CHECK(ledger.accepting(now));
 }
 
+// Found by the random schedules, seed 132: an agent that died right after its start had renewed the
+// lease of the runs of its predecessor, and one of them ran on beside the run of the next home.
+TEST_CASE_METHOD(LedgerFixture, "the lease is not renewed for runs of an earlier agent")
+{
+    RunLedger started{RunLedgerSettings()};
+    started.workerAnnounced(now, profile, out);
+    CHECK_FALSE(started.mayRenewLease());
+    started.accountReceived(now, {profile.identity, now, {key(7, 70)}, {}, 0}, out);
+    CHECK_FALSE(started.mayRenewLease());
+    started.accountReceived(now, {profile.identity, now, {}, {{key(7, 70), RunResult::Stopped}}, 0},
+                            out);
+    CHECK(started.mayRenewLease());
+}
+
 TEST_CASE_METHOD(LedgerFixture, "a draining worker gets no start and hands back what waits")
 {
     order(0, 60'000);
