--- a/source/core/keyedjob.cpp
+++ b/source/core/keyedjob.cpp
@@ -1,5 +1,6 @@
 #include "core/keyedjob.h"
 
+#include <algorithm>
 #include <charconv>
 #include <iterator>
 
@@ -9,6 +10,8 @@
 
 constexpr std::size_t KeyDigits = 16;
 constexpr int HexBase = 16;
+// A job that is done within this multiple of its objective is still of use to its caller.
+constexpr int UsefulLateness = 3;
 
 } // namespace
 
@@ -29,4 +32,67 @@
     return count;
 }
 
+std::vector<std::uint32_t> unblockSteps(KeyedJob &job)
+{
+    const auto done = [&](std::uint32_t step) {
+        return std::all_of(job.tasks[step].begin(), job.tasks[step].end(),
+                           [](const KeyedTask &task) { return task.phase == TaskPhase::Done; });
+    };
+    std::vector<std::uint32_t> unblocked;
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        if (job.tasks[step].empty() || job.tasks[step].front().phase != TaskPhase::Blocked)
+            continue;
+        const auto &after = job.spec.steps[step].after;
+        if (!std::all_of(after.begin(), after.end(), done))
+            continue;
+        for (KeyedTask &task : job.tasks[step])
+            task.phase = TaskPhase::Ready;
+        unblocked.push_back(step);
+    }
+    return unblocked;
+}
+
+std::vector<Incarnation> agentsAtLimit(const KeyedJob &job, std::uint32_t step)
+{
+    const std::uint32_t most = job.spec.steps[step].mostPerWorker;
+    std::vector<Incarnation> full;
+    if (most == 0)
+        return full;
+    std::map<Incarnation, std::uint32_t> counts;
+    for (const KeyedTask &task : job.tasks[step]) {
+        if (task.phase == TaskPhase::Ordered && ++counts[task.agent] == most)
+            full.push_back(task.agent);
+    }
+    return full;
+}
+
+std::map<Incarnation, StopRuns> runsToStop(const KeyedJob &job)
+{
+    std::map<Incarnation, StopRuns> stops;
+    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+            const KeyedTask &task = job.tasks[step][index];
+            if (task.phase == TaskPhase::Ordered)
+                stops[task.agent].runs.push_back({job.spec.key, step, index, task.run});
+        }
+    }
+    return stops;
+}
+
+RunNumber highestRun(const KeyedJob &job)
+{
+    RunNumber highest = job.lastRun;
+    for (const auto &step : job.tasks) {
+        for (const KeyedTask &task : step)
+            highest = std::max(highest, task.run);
+    }
+    return highest;
+}
+
+TimePoint uselessAt(const KeyedJob &job)
+{
+    const Duration objective = job.objective - job.arrived;
+    return std::min(job.arrived + objective * UsefulLateness, job.deadline);
+}
+
 } // namespace Bluebellquay
--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -128,4 +129,19 @@
     std::vector<std::pair<Incarnation, ReleaseNumber>> releaseCallers;
 };
 
+// Makes the tasks ready whose earlier steps are done; returns their steps.
+[[nodiscard]] std::vector<std::uint32_t> unblockSteps(KeyedJob &job);
+
+// Agents that have as many tasks of the step as one worker may.
+std::vector<Incarnation> agentsAtLimit(const KeyedJob &job, std::uint32_t step);
+
+// What is at agents, by agent.
+std::map<Incarnation, StopRuns> runsToStop(const KeyedJob &job);
+
+// Highest run number used for any task of the job.
+RunNumber highestRun(const KeyedJob &job);
+
+// From then on the result is of no use to the caller.
+TimePoint uselessAt(const KeyedJob &job);
+
 } // namespace Bluebellquay
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -10,8 +10,6 @@
 
 // Tasks that are tried in one turn beyond those that no worker has room for.
 constexpr int LookAhead = 24;
-// A job that is done within this multiple of its objective is still of use to its caller.
-constexpr int UsefulLateness = 3;
 // The first retry of a returned order, doubled with each further one.
 constexpr Duration FirstReturnDelay{2'000};
 constexpr unsigned LongestReturnDelayShift = 6;
@@ -93,7 +91,7 @@
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
-    unblockSteps(job);
+    makeReadySteps(job);
     // Whoever has not begun by half of the time is told, so that the caller can still go elsewhere.
     const TimePoint halfTime = job.arrived + (job.deadline - job.arrived) / 2;
     const TimePoint hopeless = std::max(now, std::min(uselessAt(job) - chain, halfTime));
@@ -102,22 +100,11 @@
     m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
 }
 
-void RunDispatcher::unblockSteps(KeyedJob &job)
+void RunDispatcher::makeReadySteps(KeyedJob &job)
 {
-    const auto done = [&](std::uint32_t step) {
-        return std::all_of(job.tasks[step].begin(), job.tasks[step].end(),
-                           [](const KeyedTask &task) { return task.phase == TaskPhase::Done; });
-    };
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-        if (job.tasks[step].empty() || job.tasks[step].front().phase != TaskPhase::Blocked)
-            continue;
-        const auto &after = job.spec.steps[step].after;
-        if (!std::all_of(after.begin(), after.end(), done))
-            continue;
-        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-            job.tasks[step][index].phase = TaskPhase::Ready;
+    for (const std::uint32_t step : unblockSteps(job)) {
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index)
             makeReady(job, step, index);
-        }
     }
 }
 
@@ -141,7 +128,7 @@
             ++unplaced;
             continue;
         }
-        const std::vector<Incarnation> excluded = fullAgents(job, ref.step);
+        const std::vector<Incarnation> excluded = agentsAtLimit(job, ref.step);
         const PlacementRequest request{
             job.rule.service,     step,     job.outlook.runTimes[ref.step],
             m_settings.farFactor, excluded, m_settings.dataCentre,
@@ -174,20 +161,6 @@
     return std::chrono::duration_cast<Duration>(runTime / factor);
 }
 
-std::vector<Incarnation> RunDispatcher::fullAgents(const KeyedJob &job, std::uint32_t step)
-{
-    const std::uint32_t most = job.spec.steps[step].mostPerWorker;
-    std::vector<Incarnation> full;
-    if (most == 0)
-        return full;
-    std::map<Incarnation, std::uint32_t> counts;
-    for (const KeyedTask &task : job.tasks[step]) {
-        if (task.phase == TaskPhase::Ordered && ++counts[task.agent] == most)
-            full.push_back(task.agent);
-    }
-    return full;
-}
-
 void RunDispatcher::order(TimePoint now, KeyedJob &job, const TaskRef &ref,
                           const Placement &placement, Batches &batches)
 {
@@ -395,7 +368,7 @@
         answer.outcome = Outcome::Completed;
         finish(now, job, answer, out);
     } else if (!job.released) {
-        unblockSteps(job);
+        makeReadySteps(job);
     }
     closeIfOver(now, ref.job, out);
 }
@@ -444,18 +417,13 @@
 void RunDispatcher::release(KeyedJob &job, DispatchOutbox &out)
 {
     job.released = true;
-    std::map<Incarnation, StopRuns> stops;
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-            const KeyedTask &task = job.tasks[step][index];
-            const TaskRef ref{job.spec.key, step, index};
-            if (task.phase == TaskPhase::Ready)
-                m_ready.erase({job.rank, ref});
-            if (task.phase == TaskPhase::Ordered)
-                stops[task.agent].runs.push_back({ref.job, step, index, task.run});
+            if (job.tasks[step][index].phase == TaskPhase::Ready)
+                m_ready.erase({job.rank, TaskRef{job.spec.key, step, index}});
         }
     }
-    for (auto &[agent, message] : stops)
+    for (auto &[agent, message] : runsToStop(job))
         out.messages.emplace_back(agent, std::move(message));
 }
 
@@ -470,11 +438,7 @@
     for (const auto &[entry, number] : job.releaseCallers)
         out.messages.emplace_back(entry, JobReleased{number, true});
     std::optional<KeyedJob::Successor> next = std::move(job.successor);
-    std::uint64_t highest = job.lastRun.value();
-    for (const auto &step : job.tasks) {
-        for (const KeyedTask &task : step)
-            highest = std::max(highest, task.run.value());
-    }
+    const RunNumber highest = highestRun(job);
     m_jobs.erase(position);
     if (!next)
         return;
@@ -484,7 +448,7 @@
     successor.calls = std::move(next->calls);
     successor.arrived = next->arrived;
     successor.deadline = next->deadline;
-    successor.lastRun = RunNumber(highest);
+    successor.lastRun = highest;
     m_forecast.apply(successor);
     open(now, std::move(successor));
 }
@@ -572,12 +536,6 @@
     return true;
 }
 
-TimePoint RunDispatcher::uselessAt(const KeyedJob &job)
-{
-    const Duration objective = job.objective - job.arrived;
-    return std::min(job.arrived + objective * UsefulLateness, job.deadline);
-}
-
 ServiceLoad RunDispatcher::loadBefore(TimePoint now, const KeyedJob &job) const
 {
     ServiceLoad load;
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -139,11 +139,10 @@
 
     KeyedTask *findTask(const RunKey &run, Incarnation agent);
     void open(TimePoint now, KeyedJob opened);
-    void unblockSteps(KeyedJob &job);
+    // Tasks whose earlier steps are done wait for workers from now on.
+    void makeReadySteps(KeyedJob &job);
     void makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index);
     void dispatch(TimePoint now, DispatchOutbox &out);
-    // Agents that have as many tasks of the step as one worker may.
-    static std::vector<Incarnation> fullAgents(const KeyedJob &job, std::uint32_t step);
     // Of a run near or away from the task's data, on a worker of ordinary speed.
     Duration expectedRunTime(const KeyedJob &job, std::uint32_t step, bool far) const;
     // What a run of this length would have taken near the task's data.
@@ -159,8 +158,6 @@
     void agentGone(TimePoint now, Incarnation agent, DispatchOutbox &out);
     // Refuses a job that has not begun if it would come too late to be of use.
     bool refuseIfHopeless(TimePoint now, KeyedJob &job, DispatchOutbox &out);
-    // From then on the result is of no use to the caller.
-    static TimePoint uselessAt(const KeyedJob &job);
     // The job can't be done in time any more and has not begun.
     void becomeLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
     ServiceLoad loadBefore(TimePoint now, const KeyedJob &job) const;
--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -187,7 +187,7 @@
         m_timers.at(m_timers.now() + StopTime, [this, task](TimePoint) { end(task, "stopped"); });
 }
 
-void PlatformWorker::end(const std::string &task, const std::string &how)
+void PlatformWorker::end(std::string task, const std::string &how)
 {
     const auto position = m_runs.find(task);
     if (position == m_runs.end())
@@ -197,7 +197,7 @@
     std::uint64_t &closed = m_closed[task];
     closed = std::max(closed, number);
     m_judge.ended(task, how == "done");
-    m_ended.push_back({++m_lastEnd, task, number, how});
+    m_ended.push_back({++m_lastEnd, std::move(task), number, how});
     answerHolds();
 }
 
--- a/tests/standins/platformworker.h
+++ b/tests/standins/platformworker.h
@@ -86,7 +86,8 @@
     void stop(const std::string &body);
     void hold(const std::string &body, const std::shared_ptr<HttpExchange> &exchange);
     void scheduleEnd(const std::string &task);
-    void end(const std::string &task, const std::string &how);
+    // The name is taken by value: callers pass the key of the record that is removed.
+    void end(std::string task, const std::string &how);
     void answerHolds();
     std::string account() const;
     void renew(std::uint64_t untilMs);
