--- a/source/core/runledger.cpp
+++ b/source/core/runledger.cpp
@@ -64,7 +64,7 @@
     endAll(now, out);
     m_worker.reset();
     m_accounted = false;
-    m_settled = false;
+    m_mayRenewLease = false;
     reportRooms(now, out);
 }
 
@@ -115,7 +115,7 @@
         else if (forgotten && account.unreadable == 0)
             end(now, current, RunResult::Lost, out);
     }
-    m_settled = m_settled || m_foreignRuns == 0;
+    m_mayRenewLease = m_mayRenewLease || m_foreignRuns == 0;
     if (now >= m_nextStandstillCheck) {
         m_nextStandstillCheck = now + StandstillCheckInterval;
         checkStandstill(now, out);
@@ -506,7 +506,7 @@
 void RunLedger::replaceWorker(TimePoint now, RunOutbox &out)
 {
     m_accounted = false;
-    m_settled = false;
+    m_mayRenewLease = false;
     m_watch = WorkerWatch();
     for (auto position = m_runs.begin(); position != m_runs.end();) {
         const auto current = position++;
--- a/source/core/runledger.h
+++ b/source/core/runledger.h
@@ -95,7 +95,7 @@
     // False until the worker is known to run nothing that an earlier incarnation of this agent has
     // started. The lease covers all that runs there: renewing it would keep those runs alive, for a
     // full lease after the death of this agent, when their home no longer counts on it.
-    bool mayRenewLease() const { return m_settled; }
+    bool mayRenewLease() const { return m_mayRenewLease; }
     const RunLedgerStatistics &statistics() const { return m_statistics; }
     // Room that is neither held nor promised; for metrics and tests.
     ResourceNeed freeRoom() const;
@@ -172,7 +172,7 @@
     // An account of the present worker has arrived, so that runs of others are known.
     bool m_accounted = false;
     // The present worker has been without runs of earlier incarnations since then.
-    bool m_settled = false;
+    bool m_mayRenewLease = false;
     // When the latest account was asked for.
     TimePoint m_lastAccount{};
     TimePoint m_nextStandstillCheck{};
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -1,5 +1,7 @@
 #include "standins/platformstore.h"
 
+#include "standins/loopbackserver.h"
+
 #include <boost/beast/core/detail/base64.hpp>
 #include <nlohmann/json.hpp>
 
@@ -48,14 +50,7 @@
     : m_timers(timers)
     , m_random(seed)
 {
-    HttpServerSettings settings;
-    settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-    m_server = HttpServer::create(context, timers, settings,
-                                  [this](const HttpRequest &request,
-                                         const std::shared_ptr<HttpExchange> &exchange) {
-                                      handle(request, exchange);
-                                  })
-                   .value();
+    m_server = serveOnLoopback(context, timers, *this, &PlatformStore::handle);
 }
 
 void PlatformStore::put(const std::string &table, const std::string &key, const std::string &value)
--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -1,5 +1,7 @@
 #include "standins/platformworker.h"
 
+#include "standins/loopbackserver.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -49,14 +51,7 @@
     , m_agent(context, timers, std::move(agent))
     , m_born(FirstBirthMs)
 {
-    HttpServerSettings settings;
-    settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-    m_server = HttpServer::create(context, timers, settings,
-                                  [this](const HttpRequest &request,
-                                         const std::shared_ptr<HttpExchange> &exchange) {
-                                      handle(request, exchange);
-                                  })
-                   .value();
+    m_server = serveOnLoopback(context, timers, *this, &PlatformWorker::handle);
     m_announcement = timers.every(AnnounceInterval, [this](TimePoint) { announce(); });
     m_leaseCheck = timers.every(LeaseCheckInterval, [this](TimePoint) {
         while (clockMs() >= m_leaseUntilMs && !m_runs.empty())
