--- a/source/base/messages.h
+++ b/source/base/messages.h
@@ -4,6 +4,7 @@
 
 #include "base/answer.h"
 #include "base/coretime.h"
+#include "base/evacuationnotice.h"
 #include "base/job.h"
 #include "base/runmessages.h"
 #include "base/submissionid.h"
@@ -17,7 +18,7 @@
 
 namespace Bluebellquay {
 
-constexpr std::uint32_t ProtocolVersion = 1;
+constexpr std::uint32_t ProtocolVersion = 2;
 
 // A job has at most this many tasks.
 constexpr std::size_t MaxTasksPerJob = 700;
@@ -409,11 +410,12 @@
 };
 
 // The position in this list is the type number on the wire: append only.
-using Message = std::variant<Hello, Heartbeat, Directory, ConfigDocument, ConfigRequest, Submit,
-                             Await, StopWaiting, Cancel, Refuse, Query, Reply, Reserve, Pull, Bind,
-                             TaskResult, ResultAck, Withdraw, TaskQuery, TaskState, Handover,
-                             HandoverAck, SuccessionNotice, Drain, DrainAck, StartRuns, StopRuns,
-                             RunsAtAgent, RunsEnded, WorkerRoom, ReleaseJob, JobReleased>;
+using Message =
+    std::variant<Hello, Heartbeat, Directory, ConfigDocument, ConfigRequest, Submit, Await,
+                 StopWaiting, Cancel, Refuse, Query, Reply, Reserve, Pull, Bind, TaskResult,
+                 ResultAck, Withdraw, TaskQuery, TaskState, Handover, HandoverAck, SuccessionNotice,
+                 Drain, DrainAck, StartRuns, StopRuns, RunsAtAgent, RunsEnded, WorkerRoom,
+                 ReleaseJob, JobReleased, EvacuationNotice>;
 
 } // namespace Bluebellquay
 
--- a/source/cli/commandline.cpp
+++ b/source/cli/commandline.cpp
@@ -62,6 +62,8 @@
     OperatorCommands commands(*caller, report);
     if (options.command == "drain")
         return commands.drain(options.operand);
+    if (options.command == "evacuate" || options.command == "take-back")
+        return commands.setEvacuated(options.operand, options.command == "evacuate");
     if (options.command == "config check")
         return commands.check(document, options.operand);
     if (options.command == "config apply")
--- a/source/cli/commandparser.cpp
+++ b/source/cli/commandparser.cpp
@@ -24,13 +24,15 @@
     std::string_view summary;
 };
 
-constexpr std::array<CommandRow, 9> Commands{{
+constexpr std::array<CommandRow, 11> Commands{{
     {"reserve", "", false, false, "reserve submission ids"},
     {"submit", "FILE", false, false, "submit a job and wait for its answer"},
     {"await", "ID", true, false, "wait for the answer of a submission"},
     {"cancel", "ID", true, false, "cancel a submission"},
     {"status", "ID", true, false, "show the state of a submission"},
     {"drain", "AGENT", true, true, "take the upstream beside an agent out of service"},
+    {"evacuate", "DATA_CENTRE", true, true, "start nothing more in a data centre"},
+    {"take-back", "DATA_CENTRE", true, true, "end the evacuation of a data centre"},
     {"config check", "FILE", true, true, "validate a rules document"},
     {"config apply", "FILE", true, true, "put a rules document in force"},
     {"config show", "", false, true, "show the rules document in force"},
--- a/source/cli/operatorcommands.cpp
+++ b/source/cli/operatorcommands.cpp
@@ -1,6 +1,7 @@
 #include "cli/operatorcommands.h"
 
-#include "bluebellquay/v1/dispatcher.pb.h"
+#include "cli/evacuationedit.h"
+#include "config/valuetypes.h"
 
 #include <chrono>
 #include <random>
@@ -77,10 +78,33 @@
     return response.findings().empty() ? ExitCode::Completed : ExitCode::Failed;
 }
 
+OperatorCommands::Shown OperatorCommands::readConfig()
+{
+    return m_caller.call<api::ShowConfigResponse>("bluebellquay.v1.Operator/ShowConfig",
+                                                  api::ShowConfigRequest(), AttemptLimit);
+}
+
+ExitCode OperatorCommands::setEvacuated(const std::string &dataCentre, bool evacuated)
+{
+    if (!isName(dataCentre)) {
+        m_report.note('"' + dataCentre + "\" is not a valid name of a data centre");
+        return ExitCode::Usage;
+    }
+    const Shown shown = readConfig();
+    if (const auto *failure = std::get_if<CallFailure>(&shown))
+        return m_report.failure(*failure);
+    const auto &config = std::get<api::ShowConfigResponse>(shown);
+    const auto document = editEvacuation(config.document(), dataCentre, evacuated);
+    if (!document) {
+        m_report.note("the rules document in force can't be edited; use \"config apply\"");
+        return ExitCode::Failed;
+    }
+    return apply(*document, "rules document", config.version());
+}
+
 ExitCode OperatorCommands::show()
 {
-    const auto result = m_caller.call<api::ShowConfigResponse>(
-        "bluebellquay.v1.Operator/ShowConfig", api::ShowConfigRequest(), AttemptLimit);
+    const Shown result = readConfig();
     if (const auto *failure = std::get_if<CallFailure>(&result))
         return m_report.failure(*failure);
     m_report.configShow(std::get<api::ShowConfigResponse>(result));
--- a/source/cli/operatorcommands.h
+++ b/source/cli/operatorcommands.h
@@ -1,6 +1,7 @@
 // Implements the operators' commands: drain, and those for the rules document.
 #pragma once
 
+#include "bluebellquay/v1/dispatcher.pb.h"
 #include "cli/commandoptions.h"
 #include "cli/exitcode.h"
 #include "cli/failovercaller.h"
@@ -26,8 +27,15 @@
     ExitCode apply(const std::string &document, const std::string &file,
                    std::uint64_t expectedVersion);
     ExitCode show();
+    // Applies the rules document in force once more, with the data centre in its list of evacuated
+    // ones or without it. An operator who changes the document meanwhile makes it a conflict.
+    ExitCode setEvacuated(const std::string &dataCentre, bool evacuated);
 
 private:
+    using Shown = CallResult<bluebellquay::v1::ShowConfigResponse>;
+
+    Shown readConfig();
+
     FailoverCaller &m_caller;
     Report &m_report;
 };
--- a/source/config/ruleset.h
+++ b/source/config/ruleset.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -51,6 +52,8 @@
 struct RuleSet
 {
     std::map<std::string, BranchRule, std::less<>> branches;
+    // Data centres in which no work may be started.
+    std::set<std::string, std::less<>> evacuated;
 
     const BranchRule *findBranch(std::string_view branch) const
     {
--- a/source/config/ruleskeys.cpp
+++ b/source/config/ruleskeys.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t MaxBranches = 64;
 constexpr std::size_t MaxKinds = 1'000;
 constexpr std::size_t MaxTeams = 10'000;
+constexpr std::size_t MaxDataCentres = 500;
 
 // Reports names that can't be used in logs, labels and ids, and a table with too many or no
 // entries. Returns the table if its entries can be read.
@@ -93,6 +94,33 @@
     std::string toText(const Value &) const { return "{}"; }
 };
 
+// Distinct names.
+struct NameSet
+{
+    using Value = std::set<std::string, std::less<>>;
+    std::size_t max;
+
+    KeyDescription describe() const
+    {
+        return {"", "array", "", "up to " + std::to_string(max) + " names", "", ""};
+    }
+    std::optional<Value> read(const toml::node &node, const ConfigPlace &place) const
+    {
+        const toml::array *array = node.as_array();
+        if (array == nullptr || array->size() > max) {
+            reportUnexpected(node, place, describe());
+            return std::nullopt;
+        }
+        Value names;
+        for (const toml::node &element : *array) {
+            if (auto name = NameValue().read(element, place))
+                names.insert(std::move(*name));
+        }
+        return names;
+    }
+    std::string toText(const Value &) const { return "[]"; }
+};
+
 auto queueLimit(Urgency urgency)
 {
     return [position = static_cast<std::size_t>(urgency)](BranchRule &rule) -> std::uint32_t & {
@@ -170,7 +198,11 @@
 {
     return {configKey<RuleSet>("branch", TableMap<BranchRule>{branchKeys(), MaxBranches},
                                &RuleSet::branches, Presence::Required,
-                               "Branches, by the name that jobs give; other names are refused.")};
+                               "Branches, by the name that jobs give; other names are refused."),
+            configKey<RuleSet>("evacuated", NameSet{MaxDataCentres}, &RuleSet::evacuated,
+                               Presence::Optional,
+                               "Data centres in which no work is started. What runs there ends "
+                               "there.")};
 }
 
 } // namespace Bluebellquay
--- a/source/core/executorcore.cpp
+++ b/source/core/executorcore.cpp
@@ -295,7 +295,7 @@
             m_state = AgentState::Starting;
     }
     m_capacity.setCapacity(capacity);
-    if (m_state == AgentState::Starting)
+    if (m_state == AgentState::Starting && !m_evacuated)
         m_state = AgentState::Serving;
     fillSlots(now, out);
 }
@@ -314,6 +314,14 @@
     abandonPulls([](const OutstandingPull &) { return true; });
 }
 
+void ExecutorCore::setRules(std::shared_ptr<const RuleSet> rules)
+{
+    m_evacuated = rules->evacuated.contains(m_settings.self.dataCentre);
+    if (m_evacuated)
+        silent();
+    m_shares.setRules(std::move(rules));
+}
+
 void ExecutorCore::beginStop()
 {
     m_stopping = true;
--- a/source/core/executorcore.h
+++ b/source/core/executorcore.h
@@ -44,7 +44,9 @@
     void notStarted(TimePoint now, const TaskKey &task, Outbox &out);
     void lost(TimePoint now, const TaskKey &task, Outbox &out);
 
-    void setRules(std::shared_ptr<const RuleSet> rules) { m_shares.setRules(std::move(rules)); }
+    // Takes no tasks while the rules say that the agent's data centre is evacuated. Once it is
+    // taken back, the next announcement of the upstream makes the agent serve again.
+    void setRules(std::shared_ptr<const RuleSet> rules);
     // Begins a planned stop, which can't be undone: the agent takes no further tasks.
     void beginStop();
 
@@ -89,6 +91,7 @@
     const PeerTable &m_peers;
     AgentState m_state = AgentState::Starting;
     bool m_stopping = false;
+    bool m_evacuated = false;
     // Incarnation of the upstream that announced itself last.
     std::uint64_t m_upstream = 0;
     // Slots that long work may not use, as of the last pull.
--- a/source/core/overloadrule.h
+++ b/source/core/overloadrule.h
@@ -32,6 +32,9 @@
     static constexpr Duration OverloadBacklogAge{250'000};
     // 60 s, longer than any job waits.
     static constexpr Duration MaxExpectedWait{60'000'000};
+    // 3 s. For callers that are refused because all data centres are evacuated: an evacuation lasts
+    // for seconds at least, and nothing tells its end in advance.
+    static constexpr Duration EvacuatedRetryAfter{3'000'000};
     // 1 s.
     static constexpr Duration MinRetryAfter{1'000'000};
     // 10 s.
@@ -67,15 +70,22 @@
     // the same time.
     Duration retryAfter(const ServiceLoad &load, JobKey key) const
     {
-        const Duration wait = load.milliProcessors > 0
-            ? std::clamp(expectedWait(load), MinRetryAfter, MaxRetryAfter)
-            : MinRetryAfter;
+        return spread(load.milliProcessors > 0
+                          ? std::clamp(expectedWait(load), MinRetryAfter, MaxRetryAfter)
+                          : MinRetryAfter,
+                      key);
+    }
+    // The same for a caller whose service has workers in evacuated data centres only.
+    Duration retryAfterEvacuation(JobKey key) const { return spread(EvacuatedRetryAfter, key); }
+
+private:
+    static Duration spread(Duration wait, JobKey key)
+    {
         const double place = static_cast<double>(key.value() % RetrySpreadSteps)
             / static_cast<double>(RetrySpreadSteps);
         return wait + std::chrono::duration_cast<Duration>(wait * (RetrySpread * place));
     }
 
-private:
     // Number of distinct retry times within RetrySpread.
     static constexpr std::uint64_t RetrySpreadSteps = 1024;
 };
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -78,7 +78,7 @@
     addJob(now, std::move(job));
     dispatch(now, out);
     KeyedJob &opened = m_jobs.at(key);
-    if (opened.ordersSent == 0)
+    if (opened.ordersSent == 0 && !refuseIfEvacuated(now, opened, out))
         refuseIfTooLate(now, opened, out);
 }
 
@@ -281,6 +281,20 @@
     }
 }
 
+void RunDispatcher::setEvacuated(TimePoint now, const std::set<std::string> &dataCentres,
+                                 DispatchOutbox &out)
+{
+    m_workers.setEvacuated(dataCentres);
+    std::vector<JobKey> waiting;
+    for (const auto &[key, job] : m_jobs) {
+        if (!job.released && job.ordersSent == 0)
+            waiting.push_back(key);
+    }
+    for (const JobKey key : waiting)
+        refuseIfEvacuated(now, m_jobs.at(key), out);
+    dispatch(now, out);
+}
+
 void RunDispatcher::agentUp(TimePoint now, const ProcessInfo &agent, DispatchOutbox &out)
 {
     m_workers.linkUp(agent);
@@ -551,6 +565,16 @@
     return true;
 }
 
+bool RunDispatcher::refuseIfEvacuated(TimePoint now, KeyedJob &job, DispatchOutbox &out)
+{
+    if (!m_workers.allEvacuated(job.rule.service))
+        return false;
+    const JobKey key = job.spec.key;
+    finish(now, job, refusal(now, job, Reason::NoWorker), out);
+    removeIfDrained(now, key, out);
+    return true;
+}
+
 bool RunDispatcher::otherTasksWait(const KeyedJob &job) const
 {
     // All tasks of a job have the same rank, so they are adjacent in m_ready.
@@ -585,7 +609,9 @@
     Answer answer;
     answer.outcome = Outcome::NotRun;
     answer.reason = reason;
-    answer.retryAfter = m_settings.overload.retryAfter(loadBefore(now, job), job.spec.key);
+    answer.retryAfter = m_workers.allEvacuated(job.rule.service)
+        ? m_settings.overload.retryAfterEvacuation(job.spec.key)
+        : m_settings.overload.retryAfter(loadBefore(now, job), job.spec.key);
     return answer;
 }
 
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -104,6 +104,10 @@
     void handle(TimePoint now, Incarnation entry, const ReleaseJob &message, DispatchOutbox &out);
     // Cancels the job; returns false if this process is not its home.
     bool cancel(TimePoint now, JobKey key, DispatchOutbox &out);
+    // Replaces the set of data centres in which no work may be started. Jobs that have not started
+    // and now have no worker are refused; tasks whose orders an evacuated agent returns are placed
+    // elsewhere.
+    void setEvacuated(TimePoint now, const std::set<std::string> &dataCentres, DispatchOutbox &out);
     // Announces that the process stops at this time. Jobs that can't be done by then are refused.
     void beginStop(TimePoint end) { m_stopTime = end; }
     // Answers every job with the outcome Unknown. Called when the process was suspended for so long
@@ -187,6 +191,8 @@
     // Refuses a job that has not started if it would end too late to be of use. Returns whether it
     // did.
     bool refuseIfTooLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
+    // Refuses the job if all workers of its service are in evacuated data centres.
+    bool refuseIfEvacuated(TimePoint now, KeyedJob &job, DispatchOutbox &out);
     // Refuses a job that has not started by its latest start, or moves its tasks behind those of
     // jobs that are not late.
     void markLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -190,6 +190,7 @@
         if (m_runs.contains(key))
             continue;
         ++m_statistics.ordersReceived;
+        m_statistics.ordersEvacuated += m_evacuated ? 1 : 0;
         Run run;
         run.home = home;
         run.need = message.need;
@@ -282,6 +283,16 @@
     }
 }
 
+void RunTracker::setEvacuated(TimePoint now, bool evacuated, RunOutbox &out)
+{
+    if (evacuated == m_evacuated)
+        return;
+    m_evacuated = evacuated;
+    if (evacuated)
+        returnWaiting(now, out);
+    reportRooms(now, out);
+}
+
 void RunTracker::beginStop(TimePoint now, RunOutbox &out)
 {
     m_stopping = true;
@@ -327,7 +338,7 @@
 bool RunTracker::accepting(TimePoint now) const
 {
     return m_worker && m_listingReceived && m_foreignRuns == 0 && !m_worker->draining && !m_stopping
-        && !m_watch.suspended(now);
+        && !m_evacuated && !m_watch.suspended(now);
 }
 
 ResourceNeed RunTracker::freeRoom() const
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -52,6 +52,7 @@
 {
     std::uint64_t ordersReceived = 0;
     std::uint64_t ordersReturned = 0;
+    std::uint64_t ordersEvacuated = 0;
     std::uint64_t started = 0;
     std::uint64_t startsUnanswered = 0;
     std::uint64_t startsRepeated = 0;
@@ -103,6 +104,10 @@
     // instead of repeated.
     void machineSuspended(TimePoint now, RunOutbox &out);
 
+    // While evacuated, orders are returned: none is started. Runs that have been started go on to
+    // their end.
+    void setEvacuated(TimePoint now, bool evacuated, RunOutbox &out);
+
     // Accepts no further orders and returns the waiting ones; running runs go on to their end.
     void beginStop(TimePoint now, RunOutbox &out);
     bool idle() const { return m_runs.empty(); }
@@ -207,6 +212,7 @@
     RunTrackerStatistics m_statistics;
     std::optional<WorkerProfile> m_worker;
     bool m_stopping = false;
+    bool m_evacuated = false;
     // A listing of the present worker has arrived, so that runs of earlier incarnations of this
     // agent are known.
     bool m_listingReceived = false;
--- a/source/core/workerregistry.cpp
+++ b/source/core/workerregistry.cpp
@@ -1,6 +1,7 @@
 #include "core/workerregistry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Bluebellquay {
 
@@ -24,6 +25,7 @@
     WorkerRecord &entry = m_records[agent.incarnation];
     entry.agent = agent;
     entry.linked = true;
+    entry.evacuated = m_evacuated.contains(agent.dataCentre);
     m_unlinked.erase(agent.incarnation);
     entry.room.reset();
     entry.pending.clear();
@@ -46,6 +48,13 @@
     m_unlinked.erase(agent);
 }
 
+void WorkerRegistry::setEvacuated(std::set<std::string> dataCentres)
+{
+    m_evacuated = std::move(dataCentres);
+    for (auto &[incarnation, record] : m_records)
+        record.evacuated = m_evacuated.contains(record.agent.dataCentre);
+}
+
 bool WorkerRegistry::updateRoom(Incarnation agent, const WorkerRoom &room)
 {
     const auto position = m_records.find(agent);
@@ -122,6 +131,19 @@
     });
 }
 
+bool WorkerRegistry::allEvacuated(const std::string &service) const
+{
+    bool any = false;
+    for (const auto &[incarnation, record] : m_records) {
+        if (!record.linked || !record.room || record.room->service != service)
+            continue;
+        if (!record.evacuated)
+            return false;
+        any = true;
+    }
+    return any;
+}
+
 std::size_t WorkerRegistry::usableWorkers(const std::string &service) const
 {
     return static_cast<std::size_t>(
--- a/source/core/workerregistry.h
+++ b/source/core/workerregistry.h
@@ -28,6 +28,8 @@
 
     ProcessInfo agent;
     bool linked = false;
+    // Whether the agent's data centre is evacuated: no work is started there.
+    bool evacuated = false;
     // Valid while the agent is not linked.
     TimePoint unlinkedSince{};
     // Latest report; empty until the first report after the link came up.
@@ -49,7 +51,7 @@
     // Whether the worker takes orders for the service.
     bool usable(const std::string &service) const
     {
-        return linked && room && room->accepting && room->service == service;
+        return linked && !evacuated && room && room->accepting && room->service == service;
     }
     // Whether the need fits into the free resources. A worker on probation gets one run at a time.
     bool fits(const ResourceNeed &need) const;
@@ -76,6 +78,8 @@
     // Marks the agent as not linked; its record stays until remove() is called.
     void linkDown(TimePoint now, Incarnation agent);
     void remove(Incarnation agent);
+    // Replaces the set of data centres in which no work may be started.
+    void setEvacuated(std::set<std::string> dataCentres);
     // Stores a report and drops the pending orders that it includes. Returns false, and stores
     // nothing, if the agent is not known or the report is older than the stored one.
     bool updateRoom(Incarnation agent, const WorkerRoom &room);
@@ -98,6 +102,9 @@
                           std::set<std::string> &missing) const;
     // Whether any worker of the service could hold the need if it were idle.
     bool anyLargeEnough(const std::string &service, const ResourceNeed &need) const;
+    // Whether all linked workers of the service are in evacuated data centres. False while none is
+    // linked: workers may be linked soon.
+    bool allEvacuated(const std::string &service) const;
     // Number of linked workers of the service that take orders.
     std::size_t usableWorkers(const std::string &service) const;
     // Processors of all linked workers of the service that take orders, in thousandths.
@@ -110,6 +117,7 @@
 
     Records m_records;
     std::set<Incarnation> m_unlinked;
+    std::set<std::string> m_evacuated;
 };
 
 } // namespace Bluebellquay
--- a/source/net/messagefields.h
+++ b/source/net/messagefields.h
@@ -169,6 +169,9 @@
 template <>
 inline constexpr auto WireFields<JobReleased> = std::make_tuple(&JobReleased::number,
                                                                 &JobReleased::known);
+template <>
+inline constexpr auto WireFields<EvacuationNotice> =
+    std::make_tuple(&EvacuationNotice::version, &EvacuationNotice::dataCentres);
 
 // True for structs that have a list above; each goes on the wire as an array of its fields.
 template <typename Struct>
--- a/tests/cli/commandinputtest.cpp
+++ b/tests/cli/commandinputtest.cpp
@@ -2,6 +2,7 @@
 // where the mistake is and what to do.
 #include "cli/commandline.h"
 #include "cli/commandparser.h"
+#include "cli/evacuationedit.h"
 #include "cli/jobfile.h"
 
 #include <catch2/catch.hpp>
@@ -137,3 +138,18 @@
             [] { return false; }));
     }
 }
+
+TEST_CASE("The list of evacuated data centres is edited, the rest of the document stays")
+{
+    const std::string rules = "# für alle\n[branch.b]\n";
+    const auto first = editEvacuation(rules, "kumamoto", true);
+    REQUIRE(first);
+    CHECK(*first == "evacuated = [\"kumamoto\"]\n" + rules);
+    const auto second = editEvacuation(*first, "fukuoka", true);
+    CHECK(second == "evacuated = [\"fukuoka\", \"kumamoto\"]\n" + rules);
+    CHECK(editEvacuation(*second, "kumamoto", false) == "evacuated = [\"fukuoka\"]\n" + rules);
+    CHECK(editEvacuation("a = 'é'\nevacuated = [ 'x', # é\n ] # end\nb = 1\n", "x", false)
+          == "a = 'é'\nevacuated = [] # end\nb = 1\n");
+    CHECK_FALSE(editEvacuation("evacuated = 3", "x", true));
+    CHECK_FALSE(editEvacuation("[", "x", true));
+}
--- a/tests/core/agentcoretest.cpp
+++ b/tests/core/agentcoretest.cpp
@@ -213,3 +213,29 @@
     CHECK(first.tasks.size() == 2);
     CHECK(first == std::get<Bind>(out.messages[1].message));
 }
+
+TEST_CASE("An agent in an evacuated data centre pulls nothing and serves when it is taken back",
+          "[core]")
+{
+    Outbox out;
+    const auto agent = servingAgent(out);
+    const SubmissionId id(PeerId, IssuePeriod(1), Nonce(5));
+    const Pull pull = pulledBy(*agent, id);
+    auto rules = std::make_shared<RuleSet>();
+    // The agent of this file has no name of a data centre.
+    rules->evacuated.insert("");
+    agent->setRules(TimePoint(), ConfigVersion(2), rules, out);
+    CHECK(agent->state() == AgentState::Starting);
+    // The answer to the pull is on its way: the task is not started.
+    out = Outbox();
+    agent->handle(TimePoint(), PeerId, Bind{pull.pull, id, {{}}, 0}, out);
+    CHECK(out.starts.empty());
+    REQUIRE(out.messages.size() == 1);
+    CHECK(std::get<TaskState>(out.messages[0].message).tasks[0].status == TaskStatus::NotStarted);
+    UpstreamCapacity capacity{1, 2};
+    agent->upstreamAnnounced(TimePoint(), capacity, out);
+    CHECK(agent->state() == AgentState::Starting);
+    agent->setRules(TimePoint(), ConfigVersion(3), std::make_shared<RuleSet>(), out);
+    agent->upstreamAnnounced(TimePoint(), capacity, out);
+    CHECK(agent->state() == AgentState::Serving);
+}
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -23,6 +23,7 @@
 constexpr Duration OvertakenAfter{12'000};
 constexpr Duration RelinkDelay{50'000};
 constexpr Duration WorkerRestart{200'000};
+constexpr Duration StoreLatency{4'000};
 // From a worker to the agent on its machine, 300 us.
 constexpr Duration AnnouncementLatency{300};
 constexpr std::size_t HoldSlots = 2;
@@ -36,6 +37,7 @@
     Incarnation incarnation;
     bool up = false;
     std::unique_ptr<RunDispatcher> dispatcher;
+    std::unique_ptr<EvacuationRelay> evacuations;
     std::map<CallId, JobKey> calls;
     TimePoint wakeup{};
 };
@@ -46,6 +48,7 @@
     bool up = false;
     std::uint64_t life = 0;
     std::unique_ptr<RunTracker> tracker;
+    std::unique_ptr<EvacuationRelay> evacuations;
     std::unique_ptr<ModelWorker> worker;
     std::uint64_t lastSeen = 0;
     std::uint64_t fencingToken = 0;
@@ -113,11 +116,51 @@
     settings.agentGoneAfter = AgentGoneAfter;
     settings.seed = entry.incarnation.value() << 32U;
     entry.dispatcher = std::make_unique<RunDispatcher>(settings);
+    entry.evacuations = std::make_unique<EvacuationRelay>(
+        [this, index](const Evacuations &evacuations) {
+            driveEntry(index, [&](RunDispatcher &dispatcher, DispatchOutbox &out) {
+                dispatcher.setEvacuated(m_clock.now(), evacuations.dataCentres(), out);
+            });
+        },
+        [this, index](Incarnation to, const Message &message) { sendToAgent(index, to, message); });
+    readStore(index);
     entry.calls.clear();
     for (std::size_t agent = 0; agent < m_agents.size(); ++agent)
         relinkLater(index, agent);
 }
 
+void KeyedSite::readStore(std::size_t entry)
+{
+    const TimePoint at = std::max(m_clock.now(), m_storeCutUntil[entry]) + StoreLatency;
+    m_clock.at(at, [this, entry, incarnation = m_entries[entry]->incarnation] {
+        if (m_entries[entry]->incarnation != incarnation)
+            return;
+        if (m_storeCutUntil[entry] > m_clock.now())
+            return readStore(entry);
+        m_entries[entry]->evacuations->offerFromStore(m_evacuated);
+    });
+}
+
+void KeyedSite::cutFromStore(std::size_t entry, Duration span)
+{
+    TimePoint &until = m_storeCutUntil[entry];
+    until = std::max(until, m_clock.now() + span);
+}
+
+void KeyedSite::evacuate(const std::vector<std::string> &dataCentres, Duration within)
+{
+    m_evacuated = {m_evacuated.version.next(), dataCentres};
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
+        readStore(entry);
+    for (std::size_t agent = 0; agent < m_agents.size(); ++agent) {
+        const bool evacuated =
+            std::find(dataCentres.begin(), dataCentres.end(), dataCentreOf(agent))
+            != dataCentres.end();
+        const std::string worker = m_agents[agent]->worker->profile().identity.name;
+        m_judge.close(worker, evacuated ? std::optional(m_clock.now() + within) : std::nullopt);
+    }
+}
+
 void KeyedSite::startAgent(std::size_t index)
 {
     Agent &agent = *m_agents[index];
@@ -127,7 +170,16 @@
     agent.lastSeen = 0;
     agent.fencingToken = agent.incarnation.value() * FencingTokensPerIncarnation;
     agent.tracker = std::make_unique<RunTracker>(RunTrackerSettings());
+    agent.evacuations = std::make_unique<EvacuationRelay>(
+        [this, index](const Evacuations &evacuations) {
+            driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
+                tracker.setEvacuated(m_clock.now(), !evacuations.mayStart(dataCentreOf(index)),
+                                     out);
+            });
+        },
+        [this, index](Incarnation to, const Message &message) { sendToEntry(index, to, message); });
     driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
+        tracker.setEvacuated(m_clock.now(), true, out);
         tracker.workerAnnounced(m_clock.now(), agent.worker->profile(), out);
     });
     for (std::size_t slot = 0; slot < HoldSlots; ++slot)
@@ -280,6 +332,8 @@
                     message = std::move(message)] {
                        if (m_agents[index]->incarnation != to || !m_links.contains({entry, index}))
                            return;
+                       if (const auto *notice = std::get_if<EvacuationNotice>(&message))
+                           return m_agents[index]->evacuations->offerFromPeer(from, *notice);
                        driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
                            if (const auto *start = std::get_if<StartRuns>(&message))
                                tracker.handle(m_clock.now(), from, *start, out);
@@ -304,6 +358,8 @@
                     message = std::move(message)] {
                        if (m_entries[index]->incarnation != to || !m_links.contains({index, agent}))
                            return;
+                       if (const auto *notice = std::get_if<EvacuationNotice>(&message))
+                           return m_entries[index]->evacuations->offerFromPeer(from, *notice);
                        driveEntry(index, [&](RunDispatcher &dispatcher, DispatchOutbox &out) {
                            if (const auto *room = std::get_if<WorkerRoom>(&message))
                                dispatcher.handle(m_clock.now(), from, *room, out);
@@ -330,6 +386,8 @@
 void KeyedSite::linkUp(std::size_t entry, std::size_t agent)
 {
     m_links.insert({entry, agent});
+    m_agents[agent]->evacuations->peerUp(m_entries[entry]->incarnation);
+    m_entries[entry]->evacuations->peerUp(m_agents[agent]->incarnation);
     driveAgent(agent, [&](RunTracker &tracker, RunOutbox &) {
         tracker.homeUp(m_entries[entry]->incarnation);
     });
@@ -337,7 +395,7 @@
     info.incarnation = m_agents[agent]->incarnation;
     info.role = ProcessRole::Agent;
     info.name = "agent-" + std::to_string(agent);
-    info.dataCentre = "fukuoka";
+    info.dataCentre = dataCentreOf(agent);
     driveEntry(entry, [&](RunDispatcher &dispatcher, DispatchOutbox &out) {
         dispatcher.agentUp(m_clock.now(), info, out);
     });
@@ -348,6 +406,8 @@
     if (m_links.erase({entry, agent}) == 0)
         return;
     const Incarnation home = m_entries[entry]->incarnation;
+    m_agents[agent]->evacuations->peerDown(home);
+    m_entries[entry]->evacuations->peerDown(m_agents[agent]->incarnation);
     driveEntry(entry, [&](RunDispatcher &dispatcher, DispatchOutbox &) {
         dispatcher.agentDown(m_clock.now(), m_agents[agent]->incarnation);
     });
@@ -382,7 +442,7 @@
     if (!call.open || m_clock.now() >= call.deadline)
         return;
     call.entry = entry;
-    if (!m_entries[entry]->up) {
+    if (!m_entries[entry]->up || !m_entries[entry]->evacuations->evacuations().known()) {
         resubmitLater(job, entry);
         return;
     }
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -2,6 +2,7 @@
 // workers, links that can be cut, and callers that submit again when their connection breaks.
 #pragma once
 
+#include "core/evacuationrelay.h"
 #include "core/rundispatcher.h"
 #include "core/runtracker.h"
 #include "core/virtualclock.h"
@@ -27,6 +28,8 @@
     // Speeds of the workers; the workers take the values in turn.
     std::vector<double> speeds{1};
     ResourceNeed room{64'000, 128'000'000'000ULL, 0};
+    // Data centres of the agents, which take them in turn.
+    std::vector<std::string> dataCentres{"fukuoka"};
     // Switched off by a test that shows that the check of the runs notices it.
     bool agentsStopSilentHomes = true;
 };
@@ -67,6 +70,13 @@
     void standStill(std::size_t agent, Duration span);
     void crashWorker(std::size_t index);
     void run(Duration span);
+    // Replaces the list of evacuated data centres in the store. A start there later than `within`
+    // is a violation.
+    void evacuate(const std::vector<std::string> &dataCentres, Duration within);
+    void cutFromStore(std::size_t entry, Duration span);
+    // Aim with the store and the links calm, and the users' bound.
+    static constexpr Duration CalmEvacuation{300'000};
+    static constexpr Duration EvacuationBound{5'000'000};
 
     const std::map<JobKey, CallerEnd> &ends() const { return m_ends; }
     // Violations found by the judge of the runs, and those that need the answers of the callers.
@@ -84,6 +94,12 @@
                     const std::function<void(RunDispatcher &, DispatchOutbox &)> &call);
     void driveAgent(std::size_t index, const std::function<void(RunTracker &, RunOutbox &)> &call);
     void startEntry(std::size_t index);
+    // The entry reads the list of evacuated data centres, now or when it reaches the store again.
+    void readStore(std::size_t entry);
+    const std::string &dataCentreOf(std::size_t agent) const
+    {
+        return m_settings.dataCentres[agent % m_settings.dataCentres.size()];
+    }
     void startAgent(std::size_t index);
     // Renews leases and detects lost orders as platform/workerclient.cpp does.
     void hold(std::size_t index, std::uint64_t life, std::size_t slot);
@@ -110,6 +126,9 @@
     std::map<JobKey, Call> m_calls;
     std::map<JobKey, ModelTask> m_tasks;
     std::map<JobKey, CallerEnd> m_ends;
+    // The store: the evacuated data centres, and the time until which an entry is cut off.
+    EvacuationNotice m_evacuated{EvacuationVersion(1), {}};
+    std::map<std::size_t, TimePoint> m_storeCutUntil;
     // Links that are up, as pairs of entry and agent.
     std::set<std::pair<std::size_t, std::size_t>> m_links;
     // Time until which the link of a pair is cut.
--- a/tests/dispatch/modelworker.cpp
+++ b/tests/dispatch/modelworker.cpp
@@ -20,10 +20,13 @@
 
 } // namespace
 
-void RunJudge::started(const std::string &worker, const RunKey &run, const ModelTask &task,
-                       const ResourceNeed &held, const ResourceNeed &room)
+void RunJudge::started(TimePoint now, const std::string &worker, const RunKey &run,
+                       const ModelTask &task, const ResourceNeed &held, const ResourceNeed &room)
 {
     ++m_starts;
+    if (const auto closed = m_closedAfter.find(worker);
+        closed != m_closedAfter.end() && closed->second && now > *closed->second)
+        m_violations.push_back("in an evacuated data centre: " + describe(run) + " on " + worker);
     int &running = m_running[{run.job, run.step, run.index}];
     if (++running > 1)
         m_violations.push_back("two runs at a time: " + describe(run) + " on " + worker);
@@ -103,7 +106,7 @@
     for (const auto &[key, running] : m_runs)
         held.milliProcessors += running.task.need.milliProcessors;
     const ModelTask task = m_taskOf(run);
-    m_judge.started(m_settings.name, run, task, held, m_settings.room);
+    m_judge.started(m_clock.now(), m_settings.name, run, task, held, m_settings.room);
     renew(deadline);
     m_runs[run] = Running{task, 0, false};
     scheduleEnd(run);
--- a/tests/dispatch/modelworker.h
+++ b/tests/dispatch/modelworker.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -28,9 +29,16 @@
 class RunJudge
 {
 public:
-    void started(const std::string &worker, const RunKey &run, const ModelTask &task,
+    void started(TimePoint now, const std::string &worker, const RunKey &run, const ModelTask &task,
                  const ResourceNeed &held, const ResourceNeed &room);
     void ended(const RunKey &run, RunResult how);
+    // A start on the worker after this time is a violation, until nothing opens it again. A worker
+    // that is closed already keeps its time.
+    void close(const std::string &worker, std::optional<TimePoint> after)
+    {
+        std::optional<TimePoint> &closed = m_closedAfter[worker];
+        closed = closed && after ? closed : after;
+    }
 
     const std::vector<std::string> &violations() const { return m_violations; }
     std::size_t starts() const { return m_starts; }
@@ -41,6 +49,7 @@
     using Task = std::tuple<JobKey, std::uint32_t, std::uint32_t>;
     std::map<Task, int> m_running;
     std::set<Task> m_doneTasks;
+    std::map<std::string, std::optional<TimePoint>> m_closedAfter;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
     std::size_t m_done = 0;
--- a/tests/dispatch/rundispatchertest.cpp
+++ b/tests/dispatch/rundispatchertest.cpp
@@ -27,12 +27,14 @@
         rule.allowance = 60ms;
     }
 
-    void link(Incarnation agent, const std::string &name, std::uint32_t cpu = 64'000)
+    void link(Incarnation agent, const std::string &name, std::uint32_t cpu = 64'000,
+              const std::string &dataCentre = {})
     {
         ProcessInfo info;
         info.incarnation = agent;
         info.role = ProcessRole::Agent;
         info.name = name;
+        info.dataCentre = dataCentre;
         dispatcher.agentUp(now, info, out);
         room(agent, cpu);
     }
@@ -449,3 +451,64 @@
             CHECK(order.expectedRunTime == (to == OtherAgent ? 100ms : 200ms));
     }
 }
+
+TEST_CASE_METHOD(DispatcherFixture, "work goes to an evacuated data centre when it is taken back")
+{
+    dispatcher.setEvacuated(now, {"kumamoto", "no such place"}, out);
+    link(Agent, "a", 64'000, "kumamoto");
+    link(OtherAgent, "b", 64'000, "fukuoka");
+    submit(1, 8);
+    REQUIRE(orders().size() == 8);
+    for (const auto &[agent, run] : orders())
+        CHECK(agent == OtherAgent);
+    // A part of the tasks waits: the other worker is full.
+    submit(2, 8);
+    clear();
+    dispatcher.setEvacuated(now, {}, out);
+    REQUIRE_FALSE(orders().empty());
+    for (const auto &[agent, run] : orders())
+        CHECK(agent == Agent);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "an order that an evacuated agent returns is placed elsewhere")
+{
+    link(Agent, "a", 64'000, "kumamoto");
+    submit(1, 1);
+    REQUIRE(orders().size() == 1);
+    const RunKey run = orders()[0].second;
+    link(OtherAgent, "b", 64'000, "fukuoka");
+    clear();
+    dispatcher.setEvacuated(now, {"kumamoto"}, out);
+    ended(Agent, run, RunResult::NotStarted);
+    pass(2ms);
+    REQUIRE(orders().size() == 1);
+    CHECK(orders()[0].first == OtherAgent);
+    CHECK(out.answers.empty());
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "jobs are refused at once while all data centres are evacuated")
+{
+    link(Agent, "a", 6'000, "kumamoto");
+    link(OtherAgent, "b", 0, "fukuoka");
+    submit(1, 1);
+    const CallId waiting = submit(2, 1);
+    const auto begun = orders();
+    REQUIRE(begun.size() == 1);
+    clear();
+    dispatcher.setEvacuated(now, {"fukuoka", "kumamoto"}, out);
+    const CallId arriving = submit(3, 1);
+    REQUIRE(out.answers.size() == 2);
+    CHECK(out.answers[0].call == waiting);
+    CHECK(out.answers[1].call == arriving);
+    for (const JobAnswer &answer : out.answers) {
+        CHECK(answer.answer.outcome == Outcome::NotRun);
+        CHECK(answer.answer.reason == Reason::NoWorker);
+        CHECK(answer.answer.retryAfter >= OverloadRule::EvacuatedRetryAfter);
+    }
+    CHECK(orders().empty());
+    // What runs there ends there.
+    clear();
+    ended(Agent, begun[0].second, RunResult::Done);
+    REQUIRE(out.answers.size() == 1);
+    CHECK(out.answers[0].answer.outcome == Outcome::Completed);
+}
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -475,3 +475,27 @@
     REQUIRE(out.starts.size() == 1);
     CHECK(out.starts.front().run == key(1));
 }
+
+TEST_CASE_METHOD(LedgerFixture, "an evacuated agent starts nothing and ends what it runs")
+{
+    order(0, 40'000);
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    order(1, 40'000);
+    clear();
+    ledger.setEvacuated(now, true, out);
+    // The order that waited is returned, and so is one from a home that does not know yet.
+    order(2, 1'000);
+    CHECK(out.starts.empty());
+    CHECK(out.stops.empty());
+    REQUIRE(ends().size() == 2);
+    CHECK(ends()[0].end == RunResult::NotStarted);
+    CHECK(ends()[1].end == RunResult::NotStarted);
+    CHECK_FALSE(ledger.accepting(now));
+    account({}, {{key(0), RunResult::Done}});
+    CHECK(ends().back().end == RunResult::Done);
+    clear();
+    ledger.setEvacuated(now, false, out);
+    order(3, 1'000);
+    CHECK(out.starts.size() == 1);
+    CHECK(ledger.statistics().ordersEvacuated == 1);
+}
--- a/tests/net/linkfaulttest.cpp
+++ b/tests/net/linkfaulttest.cpp
@@ -79,7 +79,7 @@
     checkEnd(encodeFrame(3, {Drain{}}), "sequence_gap");
     checkEnd(encodeFrame(1, {Drain{}}), "sequence_gap");
     checkEnd(encodeFrame(2, {Hello{}}), "no_hello");
-    checkEnd("\x83\x02\x02\x80", "frame_rejected"); // version 2
+    checkEnd("\x83\x03\x02\x80", "frame_rejected"); // version 3
     checkEnd("garbage", "frame_rejected");
     checkEnd(std::string(3000, '\x80'), "frame_too_large");
     checkEnd(encodeFrame(2, {Drain{}}), "protocol_error", false); // a text frame
@@ -90,7 +90,7 @@
     Site site;
     TestPeer peer(site.context, site.timers, 1);
     const auto raw = introduced(site, peer, 9);
-    raw->sendFrame("\x83\x02\x02\x80");
+    raw->sendFrame("\x83\x03\x02\x80");
     CHECK(runUntil(site.context, [&] {
         return peer.counted("bluebellquay_peer_frames_rejected_total",
                             {{"reason", "wrong_version"}})
--- a/tests/net/messagecodectest.cpp
+++ b/tests/net/messagecodectest.cpp
@@ -51,7 +51,7 @@
 // The error for a frame that holds this one message.
 std::optional<DecodeError> errorOf(const json &message)
 {
-    return decode(toCbor({1, 1, json::array({message})})).error;
+    return decode(toCbor({ProtocolVersion, 1, json::array({message})})).error;
 }
 
 json bytesOf(const std::string &text)
@@ -89,7 +89,7 @@
     const std::string frame = encodeFrame(
         500, {StopWaiting{Correlation(70000)}, ConfigDocument{ConfigVersion(3), "id", "text"}});
     CHECK(json::from_cbor(frame)
-          == json({1, 500, {{7, 70000}, {3, 3, bytesOf("id"), bytesOf("text")}}}));
+          == json({2, 500, {{7, 70000}, {3, 3, bytesOf("id"), bytesOf("text")}}}));
 }
 
 TEST_CASE("Random bytes are decoded or rejected without harm", "[net]")
@@ -130,18 +130,18 @@
 {
     const json valid = {7, 1}; // StopWaiting with correlation 1
     CHECK_FALSE(errorOf(valid));
-    CHECK(decode(toCbor({2, 1, {valid}})).error == DecodeError::WrongVersion);
-    CHECK(decode(toCbor({1, 1, {valid}, 0})).error == DecodeError::Malformed);
-    CHECK(decode(toCbor({1, -1, {valid}})).error == DecodeError::Malformed);
+    CHECK(decode(toCbor({ProtocolVersion + 1, 1, {valid}})).error == DecodeError::WrongVersion);
+    CHECK(decode(toCbor({ProtocolVersion, 1, {valid}, 0})).error == DecodeError::Malformed);
+    CHECK(decode(toCbor({ProtocolVersion, -1, {valid}})).error == DecodeError::Malformed);
     CHECK(decode(toCbor({{"version", 1}})).error == DecodeError::Malformed);
-    CHECK(decode(toCbor({1, 1, {valid}}) + '\0').error == DecodeError::Malformed);
+    CHECK(decode(toCbor({ProtocolVersion, 1, {valid}}) + '\0').error == DecodeError::Malformed);
     CHECK(decode("").error == DecodeError::Truncated);
-    CHECK(decode(toCbor({1, 1, {valid}}), 5).error == DecodeError::TooLarge);
+    CHECK(decode(toCbor({ProtocolVersion, 1, {valid}}), 5).error == DecodeError::TooLarge);
     json many = json::array();
     many.get_ref<json::array_t &>().assign(MaxMessagesPerFrame, valid);
-    CHECK_FALSE(decode(toCbor({1, 1, many})).error);
+    CHECK_FALSE(decode(toCbor({ProtocolVersion, 1, many})).error);
     many.push_back(valid);
-    CHECK(decode(toCbor({1, 1, many})).error == DecodeError::TooManyMessages);
+    CHECK(decode(toCbor({ProtocolVersion, 1, many})).error == DecodeError::TooManyMessages);
     CHECK(errorOf({MessageKinds, 1}) == DecodeError::UnknownType);
     CHECK(errorOf(json::array()) == DecodeError::FieldCount);
     CHECK(errorOf(json::array({7})) == DecodeError::FieldCount);
@@ -178,7 +178,7 @@
 TEST_CASE("Announced sizes and nesting cost neither memory nor stack", "[net]")
 {
     using namespace std::string_literals;
-    const std::string start = "\x83\x01\x01"s; // head of a frame, version, sequence
+    const std::string start = "\x83\x02\x01"s; // head of a frame, version, sequence
     const std::string hugeArray = "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"s;
     const std::string hugeBytes = "\x5b\x7f\xff\xff\xff\xff\xff\xff\xff"s;
     const std::string million = "\x9a\x00\x01\x00\x00"s; // 65,536 elements
@@ -187,7 +187,7 @@
         start + "\x81\x84\x03\x01"s + hugeBytes, // ConfigDocument
         start + "\x81\x82\x10"s + hugeArray,     // ResultAck
         start + "\x81\x83\x02"s + million + std::string(70'000, '\x87'),
-        "\x83\x01\x01\x81\x82\x07\x1b\x00\x00\x00\x00\x00\x00\x00\x01"s, // not the shortest form
+        "\x83\x02\x01\x81\x82\x07\x1b\x00\x00\x00\x00\x00\x00\x00\x01"s, // not the shortest form
     };
     for (const char nested : {'\x81', '\x9f', '\x5f', '\x7f', '\xc1', '\xa1', '\xbf'}) {
         frames.push_back(std::string(FrameLimit, nested));
--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -1,7 +1,9 @@
 // Guards the following of the store's tables: changes arrive in order, a dropped history is read
 // anew, an outage is survived, and the configuration's version never falls.
+#include "core/evacuations.h"
 #include "platform/advertisement.h"
 #include "platform/configrelay.h"
+#include "platform/evacuationrows.h"
 #include "platform/tablewatch.h"
 #include "standins/platformstore.h"
 
@@ -22,8 +24,10 @@
     StoreFixture()
         : store(context, timers, 1)
         , client(context, timers, {boost::asio::ip::address_v4::loopback(), store.port()})
-        , watch(client, timers, "op", [this](bool, const std::vector<StoreRow> &rows) {
-            for (const StoreRow &row : rows)
+        , watch(client, timers, "op", [this](bool whole, const StoreRows &rows) {
+            if (const auto notice = evacuationRows.update(whole, rows))
+                evacuations.offer(*notice);
+            for (const StoreRow &row : rows.rows)
                 values[row.key] = row.value;
         })
     { }
@@ -42,6 +46,8 @@
     StoreClient client;
     TableWatch watch;
     std::map<std::string, std::string> values;
+    EvacuationRows evacuationRows;
+    Evacuations evacuations;
 };
 
 ConfigDocument document(std::uint64_t version)
@@ -78,6 +84,29 @@
     until([&] { return values["config"] == "three"; });
 }
 
+TEST_CASE_METHOD(StoreFixture,
+                 "evacuations begin and end with their rows, also if those are dropped")
+{
+    store.put("op", "evacuate/kumamoto", "{}");
+    watch.start();
+    until([&] { return evacuations.known(); });
+    CHECK(evacuations.dataCentres() == std::set<std::string>{"kumamoto"});
+    store.put("op", "evacuate/fukuoka", "no object");
+    until([&] { return evacuations.dataCentres().size() == 2; });
+    const EvacuationVersion before = evacuations.version();
+    store.put("op", "config", "one");
+    until([&] { return values["config"] == "one"; });
+    CHECK(evacuations.version() == before);
+    store.remove("op", "evacuate/kumamoto");
+    until([&] { return evacuations.mayStart("kumamoto"); });
+    store.setMode(Testing::StoreMode::Refusing);
+    store.remove("op", "evacuate/fukuoka");
+    store.forgetHistory();
+    store.setMode(Testing::StoreMode::Serving);
+    store.put("op", "other", "x");
+    until([&] { return evacuations.dataCentres().empty(); });
+}
+
 TEST_CASE_METHOD(StoreFixture, "an outage at the start is waited out")
 {
     store.setMode(Testing::StoreMode::Refusing);
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -20,6 +20,9 @@
 constexpr Duration StopGrace{6'000'000};
 // Longer than the leases of all runs and the patience of homes and agents.
 constexpr Duration LongestPause{4'000'000};
+// The users' bound from the acknowledged evacuation to the last start.
+constexpr Duration EvacuationBound{5'000'000};
+constexpr const char *EvacuationRow = "evacuate/centre-0";
 const char *const Config =
     R"({"version":%,"routes":[{"name":"r-1","host":"a.example","pathPrefix":"/x/","type":"unsafe",)"
     R"("timeoutMs":1500,"objectiveMs":60,"priority":0,"service":"archive","maxAttempts":3,)"
@@ -72,9 +75,11 @@
     m_context.run_for(span);
 }
 
-std::string PlatformSoak::commonSettings(const Process &process) const
+std::string PlatformSoak::commonSettings(const Process &process,
+                                         const std::string &dataCentre) const
 {
-    return "name = \"" + process.name + "\"\ndata_centre = \"fukuoka\"\nregion = \"kyushu\"\n"
+    return "name = \"" + process.name + "\"\ndata_centre = \"" + dataCentre
+        + "\"\nregion = \"kyushu\"\n"
         + "peer_listen = \"127.0.0.1:" + std::to_string(process.peerPort) + "\"\n"
         + "peer_advertise = \"127.0.0.1:" + std::to_string(process.relay->port()) + "\"\n"
         + "metrics_listen = \"127.0.0.1:0\"\npeer_realm = \"soak\"\nstore_address = \"127.0.0.1:"
@@ -91,7 +96,7 @@
     process->otherPort = m_ports.next();
     process->relay = FaultRelay::create(m_context, 0, process->peerPort);
     const std::string path = m_settings.folder + '/' + process->name + ".toml";
-    std::ofstream(path) << commonSettings(*process)
+    std::ofstream(path) << commonSettings(*process, "centre-0")
                         << "front_listen = \"127.0.0.1:" << process->otherPort
                         << "\"\nready_listen = \"127.0.0.1:0\"\n";
     process->command = {BLUEBELLQUAY_BIN_DIR "/bluebellquay-platform-entry", "--config", path};
@@ -109,7 +114,7 @@
     process->otherPort = m_ports.next();
     process->relay = FaultRelay::create(m_context, 0, process->peerPort);
     const std::string path = m_settings.folder + '/' + process->name + ".toml";
-    std::ofstream(path) << commonSettings(*process)
+    std::ofstream(path) << commonSettings(*process, "centre-" + std::to_string(number))
                         << "announce_listen = \"127.0.0.1:" << process->otherPort << "\"\n";
     process->command = {BLUEBELLQUAY_BIN_DIR "/bluebellquay-platform-agent", "--config", path};
     m_workers.push_back(std::make_unique<PlatformWorker>(
@@ -149,6 +154,51 @@
     return m_report;
 }
 
+SoakReport PlatformSoak::runEvacuation()
+{
+    waitReady();
+    m_loading = true;
+    submitNext();
+    pass(std::chrono::seconds(1));
+    m_store.put("op", EvacuationRow, "{}");
+    pass(EvacuationBound);
+    checkEvacuated();
+    // Processes that begin meanwhile learn of it before their first start.
+    restart(*m_agents.front());
+    restart(*m_entries.front());
+    checkEvacuated();
+    m_store.remove("op", EvacuationRow);
+    const std::size_t starts = m_judge.startsOn("i-0");
+    const TimePoint latest = m_timers.now() + ReadyTimeout;
+    while (m_judge.startsOn("i-0") == starts && m_timers.now() < latest)
+        pass(std::chrono::milliseconds(20));
+    if (m_judge.startsOn("i-0") == starts)
+        m_judge.report("nothing starts after the data centre was taken back");
+    m_loading = false;
+    m_nextJob.cancel();
+    pass(CallerPatience);
+    m_report.violations = m_judge.violations();
+    m_report.starts = m_judge.starts();
+    return m_report;
+}
+
+void PlatformSoak::checkEvacuated()
+{
+    const std::size_t starts = m_judge.startsOn("i-0");
+    const std::size_t all = m_judge.starts();
+    pass(std::chrono::seconds(2));
+    if (m_judge.startsOn("i-0") != starts)
+        m_judge.report("started in an evacuated data centre");
+    if (m_judge.starts() == all)
+        m_judge.report("nothing starts in the other data centres");
+}
+
+void PlatformSoak::restart(Process &process)
+{
+    process.child->kill();
+    startProcess(process);
+}
+
 void PlatformSoak::waitReady()
 {
     const TimePoint latest = m_timers.now() + ReadyTimeout;
@@ -330,7 +380,7 @@
 
 void PlatformSoak::disturbStore()
 {
-    switch (pick(0, 4)) {
+    switch (pick(0, 5)) {
     case 0:
         m_store.setMode(StoreMode::Refusing);
         break;
@@ -343,6 +393,9 @@
     case 3:
         m_store.setLostAnswers(0.4);
         break;
+    case 4:
+        m_store.put("op", EvacuationRow, "{}");
+        break;
     default:
         m_store.forgetHistory();
     }
@@ -351,6 +404,7 @@
         m_store.setMode(StoreMode::Serving);
         m_store.setDelay(Duration(0));
         m_store.setLostAnswers(0);
+        m_store.remove("op", EvacuationRow);
     });
 }
 
@@ -380,6 +434,7 @@
     m_store.setMode(StoreMode::Serving);
     m_store.setDelay(Duration(0));
     m_store.setLostAnswers(0);
+    m_store.remove("op", EvacuationRow);
     for (const auto &worker : m_workers) {
         worker->standStill(false);
         worker->setLostAnswers(0);
--- a/tests/soak/platformsoak.h
+++ b/tests/soak/platformsoak.h
@@ -54,6 +54,9 @@
     ~PlatformSoak();
 
     SoakReport run();
+    // Evacuates the data centre of the first agent, restarts processes meanwhile, and takes it
+    // back.
+    SoakReport runEvacuation();
 
 private:
     struct Process
@@ -86,7 +89,9 @@
     void startProcess(Process &process);
     void addEntry(std::size_t number);
     void addAgent(std::size_t number);
-    std::string commonSettings(const Process &process) const;
+    std::string commonSettings(const Process &process, const std::string &dataCentre) const;
+    void checkEvacuated();
+    void restart(Process &process);
     void waitReady();
     void submitNext();
     void submit(const std::shared_ptr<Job> &job, std::size_t entry);
--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -64,3 +64,15 @@
         CHECK(report.completed > 0);
     }
 }
+
+TEST_CASE("real processes start nothing in an evacuated data centre")
+{
+    const TemporaryFolder folder;
+    SoakSettings settings = settingsOf(1);
+    settings.folder = folder.path();
+    PlatformSoak soak(settings);
+    const SoakReport report = soak.runEvacuation();
+    for (const std::string &violation : report.violations)
+        std::cout << "  " << violation << '\n';
+    CHECK(report.violations.empty());
+}
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -59,6 +59,12 @@
     answerFeeds();
 }
 
+void PlatformStore::remove(const std::string &table, const std::string &key)
+{
+    m_tables[table][key] = Row{{}, ++m_version, true};
+    answerFeeds();
+}
+
 void PlatformStore::forgetHistory()
 {
     m_historyFrom = m_version;
@@ -115,12 +121,14 @@
     const auto position = m_tables.find(table);
     if (position != m_tables.end()) {
         for (const auto &[key, row] : position->second) {
-            if (row.version > after)
-                rows.push_back({{"table", table},
-                                {"part", ""},
-                                {"key", key},
-                                {"value", encode(row.value)},
-                                {"ver", row.version}});
+            // A whole read leaves out what was removed.
+            if (row.version <= after || (row.removed && after == 0))
+                continue;
+            rows.push_back({{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}});
+            if (row.removed)
+                rows.back()["deleted"] = true;
+            else
+                rows.back()["value"] = encode(row.value);
         }
     }
     any = !rows.empty();
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -29,6 +29,8 @@
 
     unsigned short port() const { return m_server->port(); }
     void put(const std::string &table, const std::string &key, const std::string &value);
+    // Feeds show the row as removed.
+    void remove(const std::string &table, const std::string &key);
     void setMode(StoreMode mode) { m_mode = mode; }
     void setDelay(Duration delay) { m_delay = delay; }
     void setLostAnswers(double share) { m_lostAnswers = share; }
@@ -41,6 +43,7 @@
     {
         std::string value;
         std::uint64_t version = 0;
+        bool removed = false;
     };
     struct Feed
     {
--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -26,6 +26,7 @@
                             unsigned heldCpu, unsigned cpu, unsigned roomCpu)
 {
     ++m_starts;
+    ++m_startsOn[worker];
     m_startedJobs.insert(task.substr(0, task.find('.')));
     const std::string what = task + " run " + std::to_string(run) + " on " + worker;
     if (++m_running[task] > 1)
--- a/tests/standins/platformworker.h
+++ b/tests/standins/platformworker.h
@@ -32,6 +32,11 @@
     bool isDone(const std::string &task) const { return m_done.contains(task); }
     bool wasStarted(const std::string &job) const { return m_startedJobs.contains(job); }
     std::size_t starts() const { return m_starts; }
+    std::size_t startsOn(const std::string &worker) const
+    {
+        const auto position = m_startsOn.find(worker);
+        return position == m_startsOn.end() ? 0 : position->second;
+    }
     void report(std::string violation) { m_violations.push_back(std::move(violation)); }
     const std::vector<std::string> &violations() const { return m_violations; }
 
@@ -40,6 +45,7 @@
     std::set<std::string> m_done;
     std::set<std::string> m_startedJobs;
     std::size_t m_starts = 0;
+    std::map<std::string, std::size_t> m_startsOn;
     std::vector<std::string> m_violations;
 };
 
