Go on after an unexpected error in one handler

It can happen here: an exception that a handler lets out ended the event loop and with it the process, all its jobs and links (found by reading; no handler is known to throw).

Change: runEventLoop logs the error and goes on with the next handler; lack of memory still ends the process.

Test: eventlooptest; with context.run() in its place the exception leaves the loop and the second handler does not run.

--- a/source/daemons/daemonmain.h
+++ b/source/daemons/daemonmain.h
@@ -5,6 +5,7 @@
 #include "config/finding.h"
 #include "daemons/daemonoptions.h"
 #include "daemons/filelimit.h"
+#include "kernel/eventloop.h"
 #include "kernel/log.h"
 #include "net/connectclient.h"
 #include "net/connectserver.h"
@@ -44,7 +45,7 @@
             raiseFileLimit();
             boost::asio::io_context context(1);
             BOOST_LEAF_AUTO(daemon, Daemon::create(context, std::move(settings)));
-            context.run();
+            runEventLoop(context);
             return 0;
         },
         [](const Findings &findings) {
