Separate who waits and who is refused from the dispatcher of keyed jobs

Cause: rundispatcher.cpp, 637 lines, decided placing, waiting, refusing and answering. Refusing is a decision of its own that is to be compared with other ways.

Change: WaitingTasks is the queue and its age, JobRefusal decides who is refused and when the caller comes back, with what the home knows passed as HomeLoad. Jobs that an evacuation leaves without time are now refused at once, too, by the same decision as on arrival; before, only those without any worker were. 586 lines are left.

--- /dev/null
+++ b/source/core/jobrefusal.h
@@ -0,0 +1,49 @@
+// Decides at the home of a keyed job that has not started whether it is refused, and when its
+// caller should come back. The load is bursts of several times the capacity, and capacity that
+// shrinks when data centres are evacuated.
+#pragma once
+
+#include "base/answer.h"
+#include "core/overloadrule.h"
+#include "core/urgentdemand.h"
+#include "core/waitingtasks.h"
+#include "core/workerregistry.h"
+
+#include <unordered_map>
+
+namespace Bluebellquay {
+
+// What a home knows when it decides.
+struct HomeLoad
+{
+    const std::unordered_map<JobKey, KeyedJob> &jobs;
+    const WaitingTasks &waiting;
+    const WorkerRegistry &workers;
+    const UrgentDemand &demand;
+};
+
+class JobRefusal
+{
+public:
+    explicit JobRefusal(OverloadRule overload)
+        : m_overload(overload)
+    { }
+
+    // Whether the job would end too late to be of use.
+    bool tooLate(TimePoint now, const KeyedJob &job, const HomeLoad &load) const;
+    // Whether all workers of the job's service are in evacuated data centres.
+    bool evacuated(const KeyedJob &job, const HomeLoad &load) const
+    {
+        return load.workers.allEvacuated(job.rule.service);
+    }
+    // Answer of outcome NotRun with the time after which to retry.
+    Answer answer(TimePoint now, const KeyedJob &job, Reason reason, const HomeLoad &load) const;
+
+private:
+    // Load of the job's service, counting the work that is placed before the job.
+    static ServiceLoad loadBefore(TimePoint now, const KeyedJob &job, const HomeLoad &load);
+
+    OverloadRule m_overload;
+};
+
+} // namespace Bluebellquay
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -3,7 +3,6 @@
 #include "core/dispatchlog.h"
 #include "core/unplacedneeds.h"
 #include <algorithm>
-#include <limits>
 
 namespace Bluebellquay {
 
@@ -32,6 +31,7 @@
 
 RunDispatcher::RunDispatcher(RunDispatcherSettings settings)
     : m_settings(std::move(settings))
+    , m_refusal(m_settings.overload)
     , m_jitterSeed(m_settings.seed)
 { }
 
@@ -78,8 +78,8 @@
     addJob(now, std::move(job));
     dispatch(now, out);
     KeyedJob &opened = m_jobs.at(key);
-    if (opened.ordersSent == 0 && !refuseIfEvacuated(now, opened, out))
-        refuseIfTooLate(now, opened, out);
+    if (opened.ordersSent == 0)
+        refuseIfHopeless(now, opened, out);
 }
 
 void RunDispatcher::addJob(TimePoint now, KeyedJob opened)
@@ -95,8 +95,7 @@
     job.latestStart =
         job.arrived + std::chrono::duration_cast<Duration>(spare * m_settings.waitingShare);
     job.rank = m_settings.order.rank(now, job);
-    if (m_ready.empty())
-        m_noTaskWaitedAt = now;
+    m_waiting.noteIfEmpty(now);
     m_demand.arrived(now, job);
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
@@ -122,7 +121,7 @@
 
 void RunDispatcher::makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index)
 {
-    m_ready.emplace(job.rank, TaskRef{job.spec.key, step, index});
+    m_waiting.add(job.rank, TaskRef{job.spec.key, step, index});
 }
 
 void RunDispatcher::dispatch(TimePoint now, DispatchOutbox &out)
@@ -130,8 +129,9 @@
     Batches batches;
     int unplaced = 0;
     UnplacedNeeds unplacedNeeds;
-    for (auto position = m_ready.begin();
-         position != m_ready.end() && unplaced < MaxUnplacedTasksPerPass;) {
+    const WaitingTasks::Queue &queue = m_waiting.queue();
+    for (auto position = queue.begin();
+         position != queue.end() && unplaced < MaxUnplacedTasksPerPass;) {
         const auto current = position++;
         const TaskRef ref = current->second;
         KeyedJob &job = m_jobs.at(ref.job);
@@ -160,11 +160,10 @@
             ++unplaced;
             continue;
         }
-        m_ready.erase(current);
+        m_waiting.remove(current);
         order(now, job, ref, *placement, batches);
     }
-    if (m_ready.empty())
-        m_noTaskWaitedAt = now;
+    m_waiting.noteIfEmpty(now);
     for (auto &[target, message] : batches)
         out.messages.emplace_back(std::get<Incarnation>(target), std::move(message));
 }
@@ -291,7 +290,7 @@
             waiting.push_back(key);
     }
     for (const JobKey key : waiting)
-        refuseIfEvacuated(now, m_jobs.at(key), out);
+        refuseIfHopeless(now, m_jobs.at(key), out);
     dispatch(now, out);
 }
 
@@ -422,7 +421,7 @@
 
 void RunDispatcher::finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out)
 {
-    logJobEnded(job, answer, now, m_ready.size(), m_workers.records().size());
+    logJobEnded(job, answer, now, m_waiting.size(), m_workers.records().size());
     switch (answer.outcome) {
     case Outcome::Completed:
         ++m_statistics.jobsCompleted;
@@ -451,7 +450,7 @@
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
             if (job.tasks[step][index].phase == TaskPhase::Ready)
-                m_ready.erase({job.rank, TaskRef{job.spec.key, step, index}});
+                m_waiting.remove(job.rank, TaskRef{job.spec.key, step, index});
         }
     }
     for (auto &[agent, message] : runsToStop(job))
@@ -505,8 +504,7 @@
         } else if (timer->kind == TimerKind::StartTimeout) {
             if (job.ordersSent > 0)
                 continue;
-            finish(now, job, refusal(now, job, Reason::Overload), out);
-            removeIfDrained(now, timer->task.job, out);
+            refuse(now, job, Reason::Overload, out);
         } else if (now >= job.deadline) {
             const bool begun = job.ordersSent > 0;
             finish(now, job,
@@ -535,13 +533,13 @@
 {
     // Checked with the rank of a job that is not late; the new rank below puts the job behind all
     // of these.
-    if (refuseIfTooLate(now, job, out))
+    if (refuseIfHopeless(now, job, out))
         return;
     const JobKey key = job.spec.key;
     std::vector<TaskRef> waiting;
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-            if (m_ready.erase({job.rank, TaskRef{key, step, index}}) > 0)
+            if (m_waiting.remove(job.rank, TaskRef{key, step, index}))
                 waiting.push_back({key, step, index});
         }
     }
@@ -551,70 +549,21 @@
     m_timers.schedule(now + LateCheckInterval, Timer{TimerKind::Late, {key, 0, 0}, {}});
 }
 
-bool RunDispatcher::refuseIfTooLate(TimePoint now, KeyedJob &job, DispatchOutbox &out)
+bool RunDispatcher::refuseIfHopeless(TimePoint now, KeyedJob &job, DispatchOutbox &out)
 {
-    // A late job only delays other jobs that wait beside it, so it must be done by its objective if
-    // there are any.
-    const TimePoint latest = otherTasksWait(job) ? job.objective : usefulUntil(job);
-    if (!m_settings.overload.wouldFinishTooLate(loadBefore(now, job), job.estimate.criticalPath,
-                                                latest - now))
-        return false;
-    const JobKey key = job.spec.key;
-    finish(now, job, refusal(now, job, Reason::Overload), out);
-    removeIfDrained(now, key, out);
-    return true;
+    if (m_refusal.evacuated(job, load()))
+        return refuse(now, job, Reason::NoWorker, out);
+    return m_refusal.tooLate(now, job, load()) && refuse(now, job, Reason::Overload, out);
 }
 
-bool RunDispatcher::refuseIfEvacuated(TimePoint now, KeyedJob &job, DispatchOutbox &out)
+bool RunDispatcher::refuse(TimePoint now, KeyedJob &job, Reason reason, DispatchOutbox &out)
 {
-    if (!m_workers.allEvacuated(job.rule.service))
-        return false;
     const JobKey key = job.spec.key;
-    finish(now, job, refusal(now, job, Reason::NoWorker), out);
+    finish(now, job, refusal(now, job, reason), out);
     removeIfDrained(now, key, out);
     return true;
 }
 
-bool RunDispatcher::otherTasksWait(const KeyedJob &job) const
-{
-    // All tasks of a job have the same rank, so they are adjacent in m_ready.
-    return !m_ready.empty()
-        && (m_ready.begin()->second.job != job.spec.key
-            || m_ready.rbegin()->second.job != job.spec.key);
-}
-
-ServiceLoad RunDispatcher::loadBefore(TimePoint now, const KeyedJob &job) const
-{
-    ServiceLoad load;
-    for (const auto &[rank, ref] : m_ready) {
-        if (rank > job.rank)
-            break;
-        const KeyedJob &waiting = m_jobs.at(ref.job);
-        if (waiting.rule.service != job.rule.service)
-            continue;
-        load.waitingWork += JobEstimate::workOfTask(waiting.spec.steps[ref.step],
-                                                    waiting.estimate.runTimes[ref.step]);
-    }
-    load.milliProcessors = m_workers.sharedMilliProcessors(job.rule.service);
-    // All work that is not late goes before a job that is late, whatever its priority.
-    const std::uint32_t before =
-        job.rank.late ? std::numeric_limits<std::uint32_t>::max() : job.rule.priority;
-    load.arrivingWork = m_demand.work(now, job.rule.service, before);
-    load.backlogAge = now - m_noTaskWaitedAt;
-    return load;
-}
-
-Answer RunDispatcher::refusal(TimePoint now, const KeyedJob &job, Reason reason) const
-{
-    Answer answer;
-    answer.outcome = Outcome::NotRun;
-    answer.reason = reason;
-    answer.retryAfter = m_workers.allEvacuated(job.rule.service)
-        ? m_settings.overload.retryAfterEvacuation(job.spec.key)
-        : m_settings.overload.retryAfter(loadBefore(now, job), job.spec.key);
-    return answer;
-}
-
 std::size_t RunDispatcher::pending(const std::string &queue) const
 {
     return static_cast<std::size_t>(
@@ -627,7 +576,7 @@
 std::set<std::string> RunDispatcher::missingLabels() const
 {
     std::set<std::string> missing;
-    for (const auto &[rank, ref] : m_ready) {
+    for (const auto &[rank, ref] : m_waiting.queue()) {
         const KeyedJob &job = m_jobs.at(ref.job);
         m_workers.addMissingLabels(job.rule.service, job.spec.steps[ref.step], missing);
     }
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -9,10 +9,11 @@
 
 #include "core/jobforecast.h"
 #include "core/joborder.h"
+#include "core/jobrefusal.h"
 #include "core/keyedjob.h"
-#include "core/overloadrule.h"
 #include "core/timerheap.h"
 #include "core/urgentdemand.h"
+#include "core/waitingtasks.h"
 #include "core/workerchoice.h"
 #include "core/workerregistry.h"
 
@@ -137,15 +138,6 @@
     const WorkerRegistry &workers() const { return m_workers; }
 
 private:
-    struct TaskRef
-    {
-        JobKey job;
-        std::uint32_t step = 0;
-        std::uint32_t index = 0;
-
-        // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted comparison.
-        friend auto operator<=>(const TaskRef &, const TaskRef &) = default;
-    };
     // StartTimeout: the job is refused if it has not started by then. Late: the job can no longer
     // be done by its objective if it has not started by then.
     enum class TimerKind : std::uint8_t { Deadline, Late, StartTimeout, TaskReady, AgentExpiry };
@@ -188,34 +180,32 @@
     void removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out);
     // Removes an agent that has stopped all runs of this home, and counts these as lost.
     void expireAgent(TimePoint now, Incarnation agent, DispatchOutbox &out);
-    // Refuses a job that has not started if it would end too late to be of use. Returns whether it
-    // did.
-    bool refuseIfTooLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
-    // Refuses the job if all workers of its service are in evacuated data centres.
-    bool refuseIfEvacuated(TimePoint now, KeyedJob &job, DispatchOutbox &out);
+    // Refuses a job that has not started if it can't be served in time or at all. Returns whether
+    // it did.
+    bool refuseIfHopeless(TimePoint now, KeyedJob &job, DispatchOutbox &out);
+    // Refuses the job; returns true.
+    bool refuse(TimePoint now, KeyedJob &job, Reason reason, DispatchOutbox &out);
     // Refuses a job that has not started by its latest start, or moves its tasks behind those of
     // jobs that are not late.
     void markLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
-    // Whether tasks of other jobs wait for a worker.
-    bool otherTasksWait(const KeyedJob &job) const;
-    // Load of the job's service, counting the work that is placed before the job.
-    ServiceLoad loadBefore(TimePoint now, const KeyedJob &job) const;
-    // Answer of outcome NotRun with the time after which to retry.
-    Answer refusal(TimePoint now, const KeyedJob &job, Reason reason) const;
+    // Answer that refuses the job.
+    Answer refusal(TimePoint now, const KeyedJob &job, Reason reason) const
+    {
+        return m_refusal.answer(now, job, reason, load());
+    }
+    HomeLoad load() const { return {m_jobs, m_waiting, m_workers, m_demand}; }
 
     RunDispatcherSettings m_settings;
     RunDispatcherStatistics m_statistics;
     WorkerRegistry m_workers;
     JobForecast m_forecast;
     UrgentDemand m_demand;
+    JobRefusal m_refusal;
     std::unordered_map<JobKey, KeyedJob> m_jobs;
     std::unordered_map<CallId, JobKey> m_calls;
     // Seed of the jitter of the latest placement; increases by one with each placement.
     std::uint64_t m_jitterSeed = 0;
-    // Tasks that wait for a worker, in the order in which they are placed.
-    std::set<std::pair<JobRank, TaskRef>> m_ready;
-    // Latest time at which no task waited for a worker.
-    TimePoint m_noTaskWaitedAt{};
+    WaitingTasks m_waiting;
     // Runs that may still be at an agent.
     std::map<Incarnation, std::set<RunKey>> m_runsByAgent;
     TimerHeap<Timer> m_timers;
