Restart the context in the event loop's test

Change: restart it between the two cases. With context.run() in place of runEventLoop() the test fails with the exception of the first handler; with runEventLoop() it passes.

--- a/tests/net/eventlooptest.cpp
+++ b/tests/net/eventlooptest.cpp
@@ -17,6 +17,7 @@
     boost::asio::post(context, [&] { ++handled; });
     runEventLoop(context);
     CHECK(handled == 1);
+    context.restart();
     boost::asio::post(context, [] { throw std::bad_alloc(); });
     CHECK_THROWS_AS(runEventLoop(context), std::bad_alloc);
 }
