--- a/source/core/urgentdemand.h
+++ b/source/core/urgentdemand.h
@@ -101,7 +101,7 @@
             visit(position->second);
     }
 
-    // By service and priority.
+    // Demand of each queue, by its service and priority.
     std::map<std::pair<std::string, std::uint32_t>, Rates> m_rates;
 };
 
--- a/source/net/tableclient.h
+++ b/source/net/tableclient.h
@@ -19,7 +19,7 @@
 {
     // host:port, with an IP number as host.
     std::string address;
-    // Of each call.
+    // Time after which a call without an answer has failed.
     Duration timeout{3'000'000};
 };
 
