Log what a worker had when it was replaced; leave returned orders out of the logs at level info

Of a worker's crash nothing was logged until its next life, and then not which tasks it had and for how long: that tells apart whether a task, a queue or a machine is at fault.

--- a/source/core/dispatchlog.cpp
+++ b/source/core/dispatchlog.cpp
@@ -16,7 +16,9 @@
 {
     constexpr std::array<std::string_view, 6> Results = {"",        "done", "failed",
                                                          "stopped", "lost", "not_started"};
-    LogEvent(LogLevel::Info, "run_ended")
+    // A job may have hundreds of returned orders; its job_ended line and the metrics count them.
+    const bool returned = ended.end == RunResult::NotStarted;
+    LogEvent(returned ? LogLevel::Debug : LogLevel::Info, "run_ended")
         .field("job", jobKeyText(job.spec.key))
         .field("step", ended.run.step)
         .field("task", ended.run.index)
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -1,5 +1,6 @@
 #include "core/runtracker.h"
 
+#include "core/keyedjob.h"
 #include "core/standstill.h"
 #include "kernel/log.h"
 
@@ -135,6 +136,7 @@
         return;
     }
     run.attempts.settled();
+    m_statistics.startsNotSent += answer == StartAnswer::NotSent ? 1 : 0;
     if (answer == StartAnswer::Accepted) {
         if (run.state == RunState::Ordered)
             confirm(now, run);
@@ -530,8 +532,32 @@
         .field("probe_in_ms", (*m_watch.probeAt() - now).count() / 1000);
 }
 
+void RunTracker::logUnavailable(TimePoint now, std::string_view reason) const
+{
+    // A task that crashes its worker is one of those that started last.
+    constexpr std::size_t MostRunsLogged = 8;
+    std::vector<std::pair<TimePoint, RunKey>> started;
+    for (const auto &[key, run] : m_runs) {
+        if (run.state != RunState::Waiting)
+            started.emplace_back(run.started, key);
+    }
+    std::sort(started.rbegin(), started.rend());
+    std::string youngest;
+    for (std::size_t i = 0; i < std::min(started.size(), MostRunsLogged); ++i) {
+        const auto &[since, key] = started[i];
+        youngest += (i > 0 ? "," : "") + jobKeyText(key.job) + '.' + std::to_string(key.step) + '.'
+            + std::to_string(key.index) + '@' + std::to_string((now - since).count() / 1000);
+    }
+    LogEvent(LogLevel::Warning, "worker_unavailable")
+        .field("worker", m_worker ? m_worker->identity.name : "")
+        .field("reason", reason)
+        .field("runs", started.size())
+        .field("youngest_ms", youngest);
+}
+
 void RunTracker::replaceWorker(TimePoint now, RunOutbox &out)
 {
+    logUnavailable(now, "replaced");
     m_listingReceived = false;
     m_mayRenewLease = false;
     m_watch = WorkerHealth();
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -56,6 +56,7 @@
     std::uint64_t started = 0;
     std::uint64_t startsUnanswered = 0;
     std::uint64_t startsRepeated = 0;
+    std::uint64_t startsNotSent = 0;
     std::uint64_t done = 0;
     std::uint64_t failed = 0;
     std::uint64_t stopped = 0;
@@ -199,6 +200,7 @@
     void checkStandstill(TimePoint now, RunOutbox &out);
     void suspend(TimePoint now, std::string_view reason, RunOutbox &out);
     void logSuspension(TimePoint now, std::string_view reason) const;
+    void logUnavailable(TimePoint now, std::string_view reason) const;
     void adoptForeignRun(TimePoint now, const RunKey &key, TimePoint askedAt, RunOutbox &out);
     // The worker was replaced by another one. Runs that the earlier one is known to have run are
     // lost. Other started runs may have reached the new one and are stopped there.
