Confine a queue whose tasks crash workers to a third of them

What callers saw: tasks of one queue took up to ten of eleven workers away at a time, and nobody was served in seconds 12 to 16.

Cause: nothing limited how many workers the tasks of one queue could take down. Each task was tried wherever there was room, its neighbours were lost with it, and it was tried again elsewhere. A started task was kept by its home alone, so that a submission after the home's death began anew.

Why it works: after a crash the queues are kept apart on groups of workers, by the names of both, so that all homes do the same without messages. The group in which crashes go on shows the queue at fault (CrashIsolation); its tasks are confined to that third, the others avoid it. Homes keep the finding in their rows of the store, for homes that start later. Tasks under which a worker crashed wait meanwhile; after two crashes their job is failed, also if it is submitted again. Jobs of a confined queue with no worker left are refused at once.

--- a/source/core/jobrefusal.h
+++ b/source/core/jobrefusal.h
@@ -1,9 +1,10 @@
 // Decides at the home of a keyed job that has not started whether it is refused, and when its
 // caller should come back. The load is bursts of several times the capacity, and capacity that
-// shrinks when data centres are evacuated.
+// shrinks when data centres are evacuated or workers crash.
 #pragma once
 
 #include "base/answer.h"
+#include "core/crashisolation.h"
 #include "core/overloadrule.h"
 #include "core/urgentdemand.h"
 #include "core/waitingtasks.h"
@@ -20,6 +21,7 @@
     const WaitingTasks &waiting;
     const WorkerRegistry &workers;
     const UrgentDemand &demand;
+    const CrashIsolation &isolation;
 };
 
 class JobRefusal
@@ -36,10 +38,18 @@
     {
         return load.workers.allEvacuated(job.rule.service);
     }
+    // Whether the job's queue is confined to workers none of which takes orders.
+    bool isolated(const KeyedJob &job, const HomeLoad &load) const
+    {
+        return load.isolation.confined(job.rule.service, job.rule.name)
+            && availableMilliProcessors(job, load) <= 0;
+    }
     // Answer of outcome NotRun with the time after which to retry.
     Answer answer(TimePoint now, const KeyedJob &job, Reason reason, const HomeLoad &load) const;
 
 private:
+    // This home's share of the processors of the workers on which the job's tasks may be placed.
+    static double availableMilliProcessors(const KeyedJob &job, const HomeLoad &load);
     // Load of the job's service, counting the work that is placed before the job.
     static ServiceLoad loadBefore(TimePoint now, const KeyedJob &job, const HomeLoad &load);
 
--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -77,6 +77,11 @@
     bool dataIsRemote = false;
     // Agent of the last run that did not succeed.
     Incarnation avoidedAgent;
+    // The worker of the current run has crashed, as its agent has reported; the run is lost unless
+    // the worker was only cut off. Valid in phase Ordered.
+    bool workerCrashed = false;
+    // Number of workers that have crashed under the task.
+    std::uint32_t crashes = 0;
 };
 
 // Expected run times and work of a job, computed when it arrives.
--- a/source/core/overloadrule.h
+++ b/source/core/overloadrule.h
@@ -32,9 +32,10 @@
     static constexpr Duration OverloadBacklogAge{250'000};
     // 60 s, longer than any job waits.
     static constexpr Duration MaxExpectedWait{60'000'000};
-    // 3 s. For callers that are refused because all data centres are evacuated: an evacuation lasts
-    // for seconds at least, and nothing tells its end in advance.
-    static constexpr Duration EvacuatedRetryAfter{3'000'000};
+    // 3 s. For callers that are refused because no worker is left: all data centres are evacuated,
+    // or all workers to which their queue is confined have crashed. Both last for seconds at least,
+    // and nothing tells their end in advance.
+    static constexpr Duration NoWorkerRetryAfter{3'000'000};
     // 1 s.
     static constexpr Duration MinRetryAfter{1'000'000};
     // 10 s.
@@ -75,8 +76,8 @@
                           : MinRetryAfter,
                       key);
     }
-    // The same for a caller whose service has workers in evacuated data centres only.
-    Duration retryAfterEvacuation(JobKey key) const { return spread(EvacuatedRetryAfter, key); }
+    // The same for a caller for whose job no worker is left.
+    Duration retryAfterNoWorker(JobKey key) const { return spread(NoWorkerRetryAfter, key); }
 
 private:
     static Duration spread(Duration wait, JobKey key)
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -16,9 +16,25 @@
 // Run numbers skipped after each returned order: the worker may know higher numbers of the task
 // from an earlier home.
 constexpr std::uint64_t ReturnedOrderRunSkip = 32;
+// A queue with a smaller share of a service's load gets no workers of its own.
+constexpr double LoadedQueueShare = 0.05;
+// 5 s. Homes should agree on which queues are loaded, so the load is averaged over many jobs.
+constexpr Duration QueueLoadTime{5'000'000};
+// 100 ms. Interval between checks whether a task under which a worker has crashed must still wait:
+// the few workers of a confined queue are kept for other tasks.
+constexpr Duration CrashedTaskDelay{100'000};
 // 100 ms. Interval between checks whether a late job can still be served.
 constexpr Duration LateCheckInterval{100'000};
 
+// Tasks of one scheduling pass that fit no worker.
+struct UnplacedTasks
+{
+    int count = 0;
+    UnplacedNeeds needs;
+
+    bool enough() const { return count >= MaxUnplacedTasksPerPass; }
+};
+
 Answer endedWith(Outcome outcome, Reason reason)
 {
     Answer answer;
@@ -74,6 +90,11 @@
         return;
     }
     const JobKey key = job.spec.key;
+    if (m_crashes.givenUp(key)) {
+        ++m_statistics.jobsCrashing;
+        out.answers.push_back({call, endedWith(Outcome::Failed, Reason::FailsEverywhere)});
+        return;
+    }
     m_calls[call] = key;
     addJob(now, std::move(job));
     dispatch(now, out);
@@ -97,6 +118,9 @@
     job.rank = m_settings.order.rank(now, job);
     m_waiting.noteIfEmpty(now);
     m_demand.arrived(now, job);
+    m_queueLoads[job.rule.service]
+        .try_emplace(job.rule.name, QueueLoadTime)
+        .first->second.add(now, job.estimate.work);
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
@@ -126,19 +150,22 @@
 
 void RunDispatcher::dispatch(TimePoint now, DispatchOutbox &out)
 {
+    m_isolation.advance(now);
     Batches batches;
-    int unplaced = 0;
-    UnplacedNeeds unplacedNeeds;
+    // The tasks of confined queues wait for other workers than the rest.
+    UnplacedTasks open;
+    UnplacedTasks confined;
     const WaitingTasks::Queue &queue = m_waiting.queue();
-    for (auto position = queue.begin();
-         position != queue.end() && unplaced < MaxUnplacedTasksPerPass;) {
+    for (auto position = queue.begin(); position != queue.end() && !open.enough();) {
         const auto current = position++;
         const TaskRef ref = current->second;
         KeyedJob &job = m_jobs.at(ref.job);
         const KeyedTask &task = job.tasks[ref.step][ref.index];
         const KeyedStep &step = job.spec.steps[ref.step];
-        if (unplacedNeeds.cannotPlace(job.rule.service, step.need)) {
-            ++unplaced;
+        UnplacedTasks &unplaced =
+            m_isolation.confined(job.rule.service, job.rule.name) ? confined : open;
+        if (unplaced.enough() || unplaced.needs.cannotPlace(job.rule.service, step.need)) {
+            ++unplaced.count;
             continue;
         }
         const std::vector<Incarnation> excluded = agentsAtLimit(job, ref.step);
@@ -152,12 +179,14 @@
                                        m_settings.dataCentre,
                                        reserve,
                                        task.avoidedAgent,
+                                       m_isolation,
+                                       job.rule.name,
                                        ++m_jitterSeed};
         const std::optional<Placement> placement = m_settings.choice.choose(m_workers, request);
         if (!placement) {
             if (step.runsOnAnyWorker())
-                unplacedNeeds.add(job.rule.service, step.need);
-            ++unplaced;
+                unplaced.needs.add(job.rule.service, step.need);
+            ++unplaced.count;
             continue;
         }
         m_waiting.remove(current);
@@ -190,6 +219,7 @@
     task.phase = TaskPhase::Ordered;
     task.agent = agent;
     task.dataIsRemote = placement.dataIsRemote;
+    task.workerCrashed = false;
     // Run numbers of a task increase. The job's lastRun keeps them above those of earlier homes and
     // of earlier submissions under the same key.
     const std::uint64_t skipped = task.returnedOrders * ReturnedOrderRunSkip;
@@ -284,6 +314,12 @@
                                  DispatchOutbox &out)
 {
     m_workers.setEvacuated(dataCentres);
+    refuseHopelessJobs(now, out);
+    dispatch(now, out);
+}
+
+void RunDispatcher::refuseHopelessJobs(TimePoint now, DispatchOutbox &out)
+{
     std::vector<JobKey> waiting;
     for (const auto &[key, job] : m_jobs) {
         if (!job.released && job.ordersSent == 0)
@@ -291,7 +327,6 @@
     }
     for (const JobKey key : waiting)
         refuseIfHopeless(now, m_jobs.at(key), out);
-    dispatch(now, out);
 }
 
 void RunDispatcher::agentUp(TimePoint now, const ProcessInfo &agent, DispatchOutbox &out)
@@ -315,9 +350,14 @@
                            DispatchOutbox &out)
 {
     const WorkerRecord *record = m_workers.find(agent);
+    const bool wasUp =
+        record != nullptr && record->room && record->room->accepting && record->room->settled;
     if (record == nullptr || !m_workers.updateRoom(agent, message))
         return;
+    if (wasUp && !message.settled)
+        workerCrashed(now, *record, out);
     if (message.settled) {
+        markRuns(agent, false);
         // A settled worker runs nothing that an earlier incarnation of its agent started, so the
         // runs of that incarnation are over.
         std::vector<Incarnation> replaced;
@@ -339,6 +379,51 @@
     dispatch(now, out);
 }
 
+void RunDispatcher::workerCrashed(TimePoint now, const WorkerRecord &record, DispatchOutbox &out)
+{
+    ++m_statistics.workerCrashes;
+    markRuns(record.agent.incarnation, true);
+    const std::string &service = record.room->service;
+    m_isolation.workerCrashed(now, service, record.agent.name, loadedQueues(now, service),
+                              m_workers.agentNames(service));
+    refuseHopelessJobs(now, out);
+}
+
+void RunDispatcher::adoptConfinement(TimePoint now, const Confinement &confinement,
+                                     bool otherGoesFirst, DispatchOutbox &out)
+{
+    m_isolation.adopt(now, confinement, otherGoesFirst);
+    dispatch(now, out);
+}
+
+void RunDispatcher::markRuns(Incarnation agent, bool workerCrashed)
+{
+    const auto runs = m_runsByAgent.find(agent);
+    if (runs == m_runsByAgent.end())
+        return;
+    for (const RunKey &run : runs->second) {
+        if (KeyedTask *task = findTask(run, agent))
+            task->workerCrashed = workerCrashed;
+    }
+}
+
+std::vector<std::string> RunDispatcher::loadedQueues(TimePoint now,
+                                                     const std::string &service) const
+{
+    std::vector<std::string> loaded;
+    const auto queues = m_queueLoads.find(service);
+    if (queues == m_queueLoads.end())
+        return loaded;
+    double total = 0;
+    for (const auto &[queue, load] : queues->second)
+        total += load.rate(now);
+    for (const auto &[queue, load] : queues->second) {
+        if (load.rate(now) >= total * LoadedQueueShare)
+            loaded.push_back(queue);
+    }
+    return loaded;
+}
+
 KeyedTask *RunDispatcher::findTask(const RunKey &run, Incarnation agent)
 {
     const auto position = m_jobs.find(run.job);
@@ -381,11 +466,17 @@
         retryTask(now, job, ref, Duration(0));
         break;
     case RunResult::Stopped:
-    case RunResult::Lost:
-        ++(ended.end == RunResult::Lost ? m_statistics.runsLost : m_statistics.runsStopped);
+        ++m_statistics.runsStopped;
         task->avoidedAgent = agent;
         retryTask(now, job, ref, Duration(0));
         break;
+    case RunResult::Lost:
+        ++m_statistics.runsLost;
+        task->avoidedAgent = agent;
+        if (task->workerCrashed)
+            task->crashes = m_crashes.record(now, ended.run);
+        retryTask(now, job, ref, delayAfterCrash(now, job, *task));
+        break;
     case RunResult::NotStarted:
         ++m_statistics.ordersReturned;
         task->avoidedAgent = agent;
@@ -395,6 +486,9 @@
     }
     if (!job.released && task->failures >= job.rule.maxAttempts) {
         finish(now, job, endedWith(Outcome::Failed, Reason::TaskFailed), out);
+    } else if (!job.released && m_crashes.givenUp(ref.job)) {
+        ++m_statistics.jobsCrashing;
+        finish(now, job, endedWith(Outcome::Failed, Reason::FailsEverywhere), out);
     } else if (!job.released && job.tasksLeft == 0) {
         finish(now, job, endedWith(Outcome::Completed, Reason::None), out);
     } else if (!job.released) {
@@ -403,6 +497,14 @@
     removeIfDrained(now, ref.job, out);
 }
 
+Duration RunDispatcher::delayAfterCrash(TimePoint now, const KeyedJob &job,
+                                        const KeyedTask &task) const
+{
+    const bool wait =
+        task.crashes > 0 && m_isolation.mustWait(now, job.rule.service, job.rule.name);
+    return wait ? CrashedTaskDelay : Duration(0);
+}
+
 void RunDispatcher::retryTask(TimePoint now, KeyedJob &job, const TaskRef &ref, Duration delay)
 {
     KeyedTask &task = job.tasks[ref.step][ref.index];
@@ -495,8 +597,7 @@
         if (timer->kind == TimerKind::TaskReady) {
             KeyedTask &task = job.tasks[timer->task.step][timer->task.index];
             if (task.phase == TaskPhase::Delayed) {
-                task.phase = TaskPhase::Ready;
-                makeReady(job, timer->task.step, timer->task.index);
+                retryTask(now, job, timer->task, delayAfterCrash(now, job, task));
             }
         } else if (timer->kind == TimerKind::Late) {
             if (job.ordersSent == 0)
@@ -553,6 +654,10 @@
 {
     if (m_refusal.evacuated(job, load()))
         return refuse(now, job, Reason::NoWorker, out);
+    if (m_refusal.isolated(job, load())) {
+        ++m_statistics.jobsIsolated;
+        return refuse(now, job, Reason::NoWorker, out);
+    }
     return m_refusal.tooLate(now, job, load()) && refuse(now, job, Reason::Overload, out);
 }
 
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -7,6 +7,8 @@
 // time, and carries out the effects collected in DispatchOutbox.
 #pragma once
 
+#include "core/crashhistory.h"
+#include "core/crashisolation.h"
 #include "core/jobforecast.h"
 #include "core/joborder.h"
 #include "core/jobrefusal.h"
@@ -16,6 +18,7 @@
 #include "core/waitingtasks.h"
 #include "core/workerchoice.h"
 #include "core/workerregistry.h"
+#include "core/workrate.h"
 
 #include <cstdint>
 #include <map>
@@ -86,6 +89,12 @@
     std::uint64_t runsFailed = 0;
     std::uint64_t runsStopped = 0;
     std::uint64_t runsLost = 0;
+    // Workers whose crash their agent has reported.
+    std::uint64_t workerCrashes = 0;
+    // Jobs given up because workers had crashed under one of their tasks.
+    std::uint64_t jobsCrashing = 0;
+    // Jobs refused because no worker was left to which their queue is confined.
+    std::uint64_t jobsIsolated = 0;
 };
 
 class RunDispatcher
@@ -109,6 +118,11 @@
     // and now have no worker are refused; tasks whose orders an evacuated agent returns are placed
     // elsewhere.
     void setEvacuated(TimePoint now, const std::set<std::string> &dataCentres, DispatchOutbox &out);
+    // What this home has found of queues whose tasks crash workers, for other homes, and takes over
+    // what another one has found.
+    const CrashIsolation &isolation() const { return m_isolation; }
+    void adoptConfinement(TimePoint now, const Confinement &confinement, bool otherGoesFirst,
+                          DispatchOutbox &out);
     // Announces that the process stops at this time. Jobs that can't be done by then are refused.
     void beginStop(TimePoint end) { m_stopTime = end; }
     // Answers every job with the outcome Unknown. Called when the process was suspended for so long
@@ -170,6 +184,17 @@
                Batches &batches);
     // Handles the end of a run. Ends of runs that are not at this agent are ignored.
     void runEnded(TimePoint now, const EndedRun &ended, Incarnation agent, DispatchOutbox &out);
+    // The agent has reported that its worker is gone. Its runs are over when their ends are
+    // reported, since a worker that is cut off may still run them.
+    void workerCrashed(TimePoint now, const WorkerRecord &record, DispatchOutbox &out);
+    // The worker runs what this home has ordered there, or does no longer.
+    void markRuns(Incarnation agent, bool workerCrashed);
+    // Queues with a part in the recent load of the service.
+    std::vector<std::string> loadedQueues(TimePoint now, const std::string &service) const;
+    // Refuses the jobs that have not started and for which no worker is left.
+    void refuseHopelessJobs(TimePoint now, DispatchOutbox &out);
+    // Delay before a task is tried again, or looked at again, because a worker crashed under it.
+    Duration delayAfterCrash(TimePoint now, const KeyedJob &job, const KeyedTask &task) const;
     // Queues the task again after this delay.
     void retryTask(TimePoint now, KeyedJob &job, const TaskRef &ref, Duration delay);
     // Answers all calls of the job and releases it.
@@ -193,7 +218,7 @@
     {
         return m_refusal.answer(now, job, reason, load());
     }
-    HomeLoad load() const { return {m_jobs, m_waiting, m_workers, m_demand}; }
+    HomeLoad load() const { return {m_jobs, m_waiting, m_workers, m_demand, m_isolation}; }
 
     RunDispatcherSettings m_settings;
     RunDispatcherStatistics m_statistics;
@@ -201,6 +226,10 @@
     JobForecast m_forecast;
     UrgentDemand m_demand;
     JobRefusal m_refusal;
+    CrashIsolation m_isolation;
+    CrashHistory m_crashes;
+    // Arrival rate of the work of each queue, by service and queue.
+    std::map<std::string, std::map<std::string, WorkRate>> m_queueLoads;
     std::unordered_map<JobKey, KeyedJob> m_jobs;
     std::unordered_map<CallId, JobKey> m_calls;
     // Seed of the jitter of the latest placement; increases by one with each placement.
--- a/source/core/workerchoice.h
+++ b/source/core/workerchoice.h
@@ -2,6 +2,7 @@
 // different speed and size, and workers start every task that they are sent.
 #pragma once
 
+#include "core/crashisolation.h"
 #include "core/keyedjob.h"
 #include "core/urgentdemand.h"
 #include "core/workerregistry.h"
@@ -34,6 +35,9 @@
     UrgentReserve reserve;
     // Agent that returned or lost this task before; chosen only if no other worker fits.
     Incarnation avoidedAgent;
+    const CrashIsolation &isolation;
+    // Queue of the job.
+    const std::string &queue;
     // Differs between tasks and between homes.
     std::uint64_t jitterSeed = 0;
 };
@@ -82,14 +86,20 @@
         std::optional<Placement> best;
         double bestCost = std::numeric_limits<double>::max();
         for (const auto &[incarnation, record] : workers.records()) {
-            if (!record.usable(request.service) || !mayRun(record, request))
+            const WorkerAccess access = accessTo(record, request);
+            if (!record.usable(request.service) || access == WorkerAccess::Forbidden
+                || !mayRun(record, request))
                 continue;
             const std::uint32_t kept = keepFree(record, request);
             ResourceNeed room = request.step.need;
             room.milliProcessors += kept;
             if (!record.fits(room))
                 continue;
-            const double cost = costOn(record, request);
+            double cost = costOn(record, request);
+            if (access == WorkerAccess::Avoided)
+                cost += AvoidedWorkerCost;
+            else if (access == WorkerAccess::LastResort)
+                cost += LastResortCost;
             if (cost < bestCost) {
                 bestCost = cost;
                 best = Placement{incarnation, isDataRemote(record, request), kept};
@@ -99,8 +109,16 @@
     }
 
 private:
-    // In microseconds; larger than the cost of any other worker.
-    static constexpr double AvoidedAgentCost = 1e12;
+    // In microseconds. Larger than the cost of any worker that need not be avoided, and in this
+    // order.
+    static constexpr double AvoidedWorkerCost = 1e12;
+    static constexpr double LastResortCost = 1e13;
+    static constexpr double AvoidedAgentCost = 1e14;
+
+    static WorkerAccess accessTo(const WorkerRecord &record, const PlacementRequest &request)
+    {
+        return request.isolation.access(request.service, request.queue, record.agent.name);
+    }
 
     static bool mayRun(const WorkerRecord &record, const PlacementRequest &request)
     {
--- a/source/core/workerregistry.cpp
+++ b/source/core/workerregistry.cpp
@@ -144,6 +144,16 @@
     return any;
 }
 
+std::vector<std::string> WorkerRegistry::agentNames(const std::string &service) const
+{
+    std::vector<std::string> names;
+    for (const auto &[incarnation, record] : m_records) {
+        if (record.linked && record.room && record.room->service == service)
+            names.push_back(record.agent.name);
+    }
+    return names;
+}
+
 std::size_t WorkerRegistry::usableWorkers(const std::string &service) const
 {
     return static_cast<std::size_t>(
@@ -166,8 +176,7 @@
     double total = 0;
     for (const auto &[incarnation, entry] : m_records) {
         if (entry.usable(service))
-            total += static_cast<double>(entry.room->total.milliProcessors)
-                / std::max<std::uint32_t>(1, entry.room->homes);
+            total += entry.sharedMilliProcessors();
     }
     return total;
 }
--- a/source/core/workerregistry.h
+++ b/source/core/workerregistry.h
@@ -5,6 +5,7 @@
 #include "base/messages.h"
 #include "core/keyedjob.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -13,6 +14,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Bluebellquay {
 
@@ -53,6 +55,12 @@
     {
         return linked && !evacuated && room && room->accepting && room->service == service;
     }
+    // Processors in thousandths, divided by the number of homes that share the worker.
+    double sharedMilliProcessors() const
+    {
+        return static_cast<double>(room->total.milliProcessors)
+            / std::max<std::uint32_t>(1, room->homes);
+    }
     // Whether the need fits into the free resources. A worker on probation gets one run at a time.
     bool fits(const ResourceNeed &need) const;
     // Labels include the kind of the worker and its rack.
@@ -105,6 +113,8 @@
     // Whether all linked workers of the service are in evacuated data centres. False while none is
     // linked: workers may be linked soon.
     bool allEvacuated(const std::string &service) const;
+    // Names of the linked agents that have reported a worker of the service.
+    std::vector<std::string> agentNames(const std::string &service) const;
     // Number of linked workers of the service that take orders.
     std::size_t usableWorkers(const std::string &service) const;
     // Processors of all linked workers of the service that take orders, in thousandths.
--- a/source/core/workrate.h
+++ b/source/core/workrate.h
@@ -10,9 +10,13 @@
 class WorkRate
 {
 public:
+    explicit WorkRate(Duration timeConstant = DefaultTimeConstant)
+        : m_timeConstant(timeConstant)
+    { }
+
     void add(TimePoint now, double work)
     {
-        m_rate = rate(now) + work / static_cast<double>(TimeConstant.count());
+        m_rate = rate(now) + work / static_cast<double>(m_timeConstant.count());
         m_at = now;
     }
 
@@ -20,14 +24,15 @@
     double rate(TimePoint now) const
     {
         const auto passed = static_cast<double>((now - m_at).count());
-        return m_rate * std::exp(-passed / static_cast<double>(TimeConstant.count()));
+        return m_rate * std::exp(-passed / static_cast<double>(m_timeConstant.count()));
     }
 
 private:
     // 500 ms. The demand fluctuates within seconds, but a single job must not change the average
     // much.
-    static constexpr Duration TimeConstant{500'000};
+    static constexpr Duration DefaultTimeConstant{500'000};
 
+    Duration m_timeConstant;
     double m_rate = 0;
     TimePoint m_at{};
 };
--- /dev/null
+++ b/tests/dispatch/crashisolationtest.cpp
@@ -0,0 +1,225 @@
+// Tasks that crash their workers: which queue is found at fault, how many workers its tasks take
+// down, and what becomes of the jobs of the others.
+#include "core/crashisolation.h"
+#include "core/crashhistory.h"
+#include "dispatch/keyedsite.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+
+using namespace Bluebellquay;
+using namespace Bluebellquay::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Service = "archive";
+const std::vector<std::string> Queues{"checks", "fetches", "lookups"};
+
+class IsolationFixture
+{
+public:
+    IsolationFixture()
+    {
+        for (int i = 0; i < 12; ++i)
+            agents.push_back("agent-" + std::to_string(i));
+    }
+
+    void crash(const std::string &agent)
+    {
+        isolation.workerCrashed(now, Service, agent, Queues, agents);
+    }
+    // The first crash, after which the workers are divided.
+    void divide()
+    {
+        crash(agents[0]);
+        now += 1s;
+    }
+    // Workers of the group of this queue.
+    std::vector<std::string> groupOf(const std::string &queue) const
+    {
+        std::vector<std::string> group;
+        for (const std::string &agent : agents) {
+            if (isolation.access(Service, queue, agent) == WorkerAccess::Open)
+                group.push_back(agent);
+        }
+        return group;
+    }
+    void crashTwiceInGroupOf(const std::string &queue)
+    {
+        for (const std::string &agent : {groupOf(queue)[0], groupOf(queue)[1]}) {
+            crash(agent);
+            now += 300ms;
+        }
+        isolation.advance(now);
+    }
+
+    TimePoint now{1s};
+    std::vector<std::string> agents;
+    CrashIsolation isolation;
+};
+
+// Three queues of a site of twelve workers, loaded by half. A tenth of the look-ups crash their
+// workers.
+class CrashingLoad
+{
+public:
+    explicit CrashingLoad(std::uint64_t seed)
+        : m_site(settings(seed))
+    { }
+
+    // Submits a job every 8 ms. Returns the smallest number of workers that were up once those are
+    // back that crashed before the queue was confined.
+    std::size_t play(Duration span)
+    {
+        std::size_t fewest = m_site.workersUp();
+        const TimePoint begin = m_site.clock().now();
+        for (int i = 0; m_site.clock().now() < begin + span; ++i) {
+            m_crashing = m_site.clock().now() > begin + 1s;
+            submit(i);
+            m_site.run(8ms);
+            if (m_site.clock().now() > begin + 6s)
+                fewest = std::min(fewest, m_site.workersUp());
+        }
+        return fewest;
+    }
+    // Share of the jobs of the queues that are not at fault that were completed.
+    double othersCompleted() const
+    {
+        double completed = 0;
+        for (const JobKey job : m_others)
+            completed += m_site.ends().at(job).answer.outcome == Outcome::Completed ? 1 : 0;
+        return completed / static_cast<double>(m_others.size());
+    }
+    KeyedSite &site() { return m_site; }
+
+private:
+    static KeyedSiteSettings settings(std::uint64_t seed)
+    {
+        KeyedSiteSettings settings;
+        settings.seed = seed;
+        settings.agents = 12;
+        return settings;
+    }
+    void submit(int number)
+    {
+        const auto entry = static_cast<std::size_t>(number % 3);
+        QueueRule rule = m_site.rule();
+        if (number % 4 == 0) {
+            rule.name = "lookups";
+            ModelTask task{{6'000, 64'000'000, 0}, 50ms, false, {}};
+            if (m_crashing && number % 40 == 0)
+                task.crashesAfter = 10ms;
+            m_site.submit(entry, 8, task, 50ms, 1'500ms, rule);
+            return;
+        }
+        rule.name = number % 8 == 1 ? "checks" : "fetches";
+        const Duration runTime = number % 8 == 1 ? 400ms : 170ms;
+        m_others.push_back(m_site.submit(entry, 2, {{6'000, 64'000'000, 0}, runTime, false, {}},
+                                         runTime, 1'500ms, rule));
+    }
+
+    KeyedSite m_site;
+    // Whether look-ups crash workers by now.
+    bool m_crashing = false;
+    std::vector<JobKey> m_others;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(IsolationFixture, "a queue whose group goes on crashing is confined to it")
+{
+    divide();
+    CHECK(groupOf("lookups").size() == 4);
+    CHECK_FALSE(isolation.confined(Service, "lookups"));
+    const auto group = groupOf("lookups");
+    crashTwiceInGroupOf("lookups");
+    CHECK(isolation.confined(Service, "lookups"));
+    CHECK_FALSE(isolation.confined(Service, "fetches"));
+    for (const std::string &agent : agents) {
+        const bool own = std::find(group.begin(), group.end(), agent) != group.end();
+        CHECK((isolation.access(Service, "lookups", agent) == WorkerAccess::Open) == own);
+        CHECK((isolation.access(Service, "lookups", agent) == WorkerAccess::Forbidden) == !own);
+        CHECK((isolation.access(Service, "fetches", agent) == WorkerAccess::LastResort) == own);
+    }
+    now += 2 * CrashIsolation::FirstHold;
+    isolation.advance(now);
+    CHECK_FALSE(isolation.confined(Service, "lookups"));
+    CHECK(groupOf("fetches").size() == agents.size());
+}
+
+TEST_CASE_METHOD(IsolationFixture, "workers that crash at the same time say nothing of the queues")
+{
+    divide();
+    for (const std::string &queue : Queues) {
+        for (const std::string &agent : groupOf(queue)) {
+            crash(agent);
+            now += 10ms;
+        }
+    }
+    now += 300ms;
+    isolation.advance(now);
+    for (const std::string &queue : Queues)
+        CHECK_FALSE(isolation.confined(Service, queue));
+}
+
+TEST_CASE_METHOD(IsolationFixture,
+                 "a queue that was found at fault wrongly is free again when others crash")
+{
+    divide();
+    const auto group = groupOf("fetches");
+    crashTwiceInGroupOf("lookups");
+    REQUIRE(isolation.confined(Service, "lookups"));
+    for (const std::string &agent : {group[0], group[1]}) {
+        now += 300ms;
+        crash(agent);
+    }
+    now += 300ms;
+    isolation.advance(now);
+    CHECK(isolation.confined(Service, "fetches"));
+    CHECK_FALSE(isolation.confined(Service, "lookups"));
+}
+
+TEST_CASE_METHOD(IsolationFixture, "a home that starts later takes over what the others have found")
+{
+    divide();
+    crashTwiceInGroupOf("lookups");
+    CrashIsolation later;
+    for (const Confinement &confinement : isolation.confinements(now))
+        later.adopt(now, confinement, false);
+    REQUIRE(later.confined(Service, "lookups"));
+    for (const std::string &agent : agents)
+        CHECK(later.access(Service, "lookups", agent)
+              == isolation.access(Service, "lookups", agent));
+    later.advance(now + CrashIsolation::LongestHold);
+    CHECK_FALSE(later.confined(Service, "lookups"));
+}
+
+TEST_CASE("the crashes of many jobs are kept for a while and in bounded memory")
+{
+    CrashHistory history;
+    TimePoint now{1s};
+    const RunKey run{JobKey(1), 0, 0, RunNumber(1)};
+    CHECK(history.record(now, run) == 1);
+    CHECK_FALSE(history.givenUp(JobKey(1)));
+    CHECK(history.record(now + 1s, run) == 2);
+    CHECK(history.givenUp(JobKey(1)));
+    for (std::uint64_t job = 2; job < 2 * CrashHistory::MaxJobs; ++job)
+        history.record(now + 2s, {JobKey(job), 0, 0, RunNumber(1)});
+    CHECK(history.jobs() <= CrashHistory::MaxJobs);
+    history.record(now + 3s + CrashHistory::Retention, {JobKey(7), 0, 0, RunNumber(1)});
+    CHECK(history.jobs() == 1);
+}
+
+TEST_CASE("tasks of one queue that crash their workers leave most workers to the other queues")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        CrashingLoad load(seed);
+        CHECK(load.play(11s) >= 8);
+        load.site().run(5s);
+        CHECK(load.othersCompleted() >= 0.9);
+        CHECK(load.site().violations().empty());
+    }
+}
--- a/tests/dispatch/evacuationtest.cpp
+++ b/tests/dispatch/evacuationtest.cpp
@@ -32,7 +32,7 @@
 // Submits a job of two tasks every 10 ms, at each entry in turn.
 void submitFor(KeyedSite &site, Duration span)
 {
-    const ModelTask task{{4'000, 64'000'000, 0}, 100ms, false};
+    const ModelTask task{{4'000, 64'000'000, 0}, 100ms, false, {}};
     const TimePoint end = site.clock().now() + span;
     for (std::size_t entry = 0; site.clock().now() < end; entry = (entry + 1) % 3) {
         site.submit(entry, 2, task, 100ms, 1'500ms);
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -23,6 +23,10 @@
 constexpr Duration OvertakenAfter{12'000};
 constexpr Duration RelinkDelay{50'000};
 constexpr Duration WorkerRestart{200'000};
+// An agent finds that its worker is gone with the next renewal of the lease.
+constexpr Duration CrashNotice{60'000};
+// No lease is longer, with the slowness of clocks and the call that asked for it.
+constexpr Duration LeaseEnd{1'130'000};
 constexpr Duration StoreLatency{4'000};
 // From a worker to the agent on its machine, 300 us.
 constexpr Duration AnnouncementLatency{300};
@@ -40,6 +44,9 @@
     std::unique_ptr<EvacuationRelay> evacuations;
     std::map<CallId, JobKey> calls;
     TimePoint wakeup{};
+    // Its row in the store, and the version of what the row tells.
+    std::vector<Confinement> confinements;
+    std::uint64_t toldIsolation = 0;
 };
 
 struct KeyedSite::Agent
@@ -92,7 +99,7 @@
         worker.lostAnswers = m_settings.lostAnswers;
         agent->worker = std::make_unique<ModelWorker>(
             m_clock, m_random, m_judge, [this](const RunKey &run) { return m_tasks.at(run.job); },
-            worker);
+            worker, [this, i] { crashWorker(i, m_settings.crashedWorkerRestart); });
         m_agents.push_back(std::move(agent));
     }
     for (std::size_t i = 0; i < m_settings.entries; ++i) {
@@ -124,11 +131,32 @@
         },
         [this, index](Incarnation to, const Message &message) { sendToAgent(index, to, message); });
     readStore(index);
+    entry.confinements.clear();
+    entry.toldIsolation = 0;
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+        if (other != index)
+            tellConfinements(other, index);
+    }
     entry.calls.clear();
     for (std::size_t agent = 0; agent < m_agents.size(); ++agent)
         relinkLater(index, agent);
 }
 
+void KeyedSite::tellConfinements(std::size_t from, std::size_t to)
+{
+    for (const Confinement &confinement : m_entries[from]->confinements) {
+        m_clock.at(
+            m_clock.now() + StoreLatency,
+            [this, confinement, to, first = from < to, incarnation = m_entries[to]->incarnation] {
+                if (m_entries[to]->incarnation != incarnation || !m_entries[to]->up)
+                    return;
+                driveEntry(to, [&](RunDispatcher &dispatcher, DispatchOutbox &out) {
+                    dispatcher.adoptConfinement(m_clock.now(), confinement, first, out);
+                });
+            });
+    }
+}
+
 void KeyedSite::readStore(std::size_t entry)
 {
     const TimePoint at = std::max(m_clock.now(), m_storeCutUntil[entry]) + StoreLatency;
@@ -259,6 +287,14 @@
         sendToAgent(index, to, std::move(message));
     for (const JobAnswer &answer : out.answers)
         answered(index, answer);
+    const CrashIsolation &isolation = entry.dispatcher->isolation();
+    if (std::exchange(entry.toldIsolation, isolation.version()) != isolation.version()) {
+        entry.confinements = isolation.confinements(m_clock.now());
+        for (std::size_t other = 0; other < m_entries.size(); ++other) {
+            if (other != index)
+                tellConfinements(index, other);
+        }
+    }
     const auto next = entry.dispatcher->nextWakeup();
     if (!next || (entry.wakeup <= *next && entry.wakeup > m_clock.now()))
         return;
@@ -292,6 +328,10 @@
                 tracker.startAnswered(m_clock.now(), run, answer, effects);
             });
         };
+        if (!agent.worker->isUp()) {
+            m_clock.at(m_clock.now() + Duration(1), [report] { report(StartAnswer::NotSent); });
+            continue;
+        }
         agent.worker->start(start.run, agent.fencingToken, report);
         m_clock.at(m_clock.now() + CallTimeout, [report] { report(StartAnswer::NoAnswer); });
     }
@@ -552,14 +592,32 @@
     m_clock.at(m_clock.now() + span, [this, agent] { m_agents[agent]->worker->standStill(false); });
 }
 
-void KeyedSite::crashWorker(std::size_t index)
+std::size_t KeyedSite::workersUp() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_agents.begin(), m_agents.end(), [](const auto &agent) { return agent->worker->isUp(); }));
+}
+
+void KeyedSite::crashWorker(std::size_t index, std::optional<Duration> down)
 {
     Agent &agent = *m_agents[index];
     agent.worker->crash();
     agent.lastSeen = 0;
-    m_clock.at(m_clock.now() + WorkerRestart,
-               [this, index] { m_agents[index]->worker->startAgain(); });
-    m_clock.at(m_clock.now() + WorkerRestart + AnnouncementLatency, [this, index] {
+    const Duration restart = down.value_or(WorkerRestart);
+    m_clock.at(m_clock.now() + restart, [this, index] { m_agents[index]->worker->startAgain(); });
+    if (restart > LeaseEnd) {
+        m_clock.at(m_clock.now() + CrashNotice, [this, index] {
+            driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
+                tracker.workerRefused(m_clock.now(), out);
+            });
+        });
+        m_clock.at(m_clock.now() + LeaseEnd, [this, index] {
+            driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
+                tracker.leaseExpired(m_clock.now(), out);
+            });
+        });
+    }
+    m_clock.at(m_clock.now() + restart + AnnouncementLatency, [this, index] {
         ++m_agents[index]->fencingToken;
         driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
             tracker.workerAnnounced(m_clock.now(), m_agents[index]->worker->profile(), out);
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -30,6 +31,8 @@
     ResourceNeed room{64'000, 128'000'000'000ULL, 0};
     // Data centres of the agents, which take them in turn.
     std::vector<std::string> dataCentres{"fukuoka"};
+    // Time after which a worker that a task has crashed is back.
+    Duration crashedWorkerRestart{3'200'000};
     // Switched off by a test that shows that the check of the runs notices it.
     bool agentsStopSilentHomes = true;
 };
@@ -68,7 +71,10 @@
     void killAgent(std::size_t index, Duration down);
     void cut(std::size_t entry, std::size_t agent, Duration span);
     void standStill(std::size_t agent, Duration span);
-    void crashWorker(std::size_t index);
+    // Without a span, the worker is back after 200 ms.
+    void crashWorker(std::size_t index, std::optional<Duration> down = std::nullopt);
+    // Workers that are up now.
+    std::size_t workersUp() const;
     void run(Duration span);
     // Replaces the list of evacuated data centres in the store. A start there later than `within`
     // is a violation.
@@ -100,6 +106,9 @@
     {
         return m_settings.dataCentres[agent % m_settings.dataCentres.size()];
     }
+    // Tells the entry what another one has found of queues that crash workers, by its row in the
+    // store.
+    void tellConfinements(std::size_t from, std::size_t to);
     void startAgent(std::size_t index);
     // Renews leases and detects lost orders as platform/workerclient.cpp does.
     void hold(std::size_t index, std::uint64_t life, std::size_t slot);
--- a/tests/dispatch/modelworker.cpp
+++ b/tests/dispatch/modelworker.cpp
@@ -30,6 +30,9 @@
     int &running = m_running[{run.job, run.step, run.index}];
     if (++running > 1)
         m_violations.push_back("two runs at a time: " + describe(run) + " on " + worker);
+    if (m_crashes[{run.job, run.step, run.index}] >= 3
+        && ++m_startsAfterCrashes[{run.job, run.step, run.index}] == 3)
+        m_violations.push_back("started three times after three crashes: " + describe(run));
     if (held.milliProcessors + task.need.milliProcessors > room.milliProcessors)
         m_violations.push_back("over the room of " + worker + ": " + describe(run));
 }
@@ -43,18 +46,24 @@
     m_doneTasks.insert({run.job, run.step, run.index});
 }
 
+void RunJudge::crashed(const RunKey &run)
+{
+    ++m_crashes[{run.job, run.step, run.index}];
+}
+
 bool RunJudge::isDone(JobKey job, std::uint32_t step, std::uint32_t index) const
 {
     return m_doneTasks.contains({job, step, index});
 }
 
 ModelWorker::ModelWorker(VirtualClock &clock, std::mt19937_64 &random, RunJudge &judge,
-                         TaskOf taskOf, ModelWorkerSettings settings)
+                         TaskOf taskOf, ModelWorkerSettings settings, std::function<void()> crashed)
     : m_clock(clock)
     , m_random(random)
     , m_judge(judge)
     , m_taskOf(std::move(taskOf))
     , m_settings(std::move(settings))
+    , m_crashed(std::move(crashed))
 { }
 
 void ModelWorker::deliver(const std::function<void()> &call, const std::function<void()> &answer)
@@ -110,6 +119,11 @@
     renew(deadline);
     m_runs[run] = Running{task, 0, false};
     scheduleEnd(run);
+    if (task.crashesAfter && run.index == 0)
+        m_clock.at(m_clock.now() + *task.crashesAfter, [this, run, life = m_bornMs] {
+            if (life == m_bornMs && m_runs.contains(run))
+                m_crashed();
+        });
     return StartAnswer::Accepted;
 }
 
@@ -232,8 +246,10 @@
 
 void ModelWorker::crash()
 {
-    for (const auto &[run, running] : m_runs)
+    for (const auto &[run, running] : m_runs) {
+        m_judge.crashed(run);
         m_judge.ended(run, RunResult::Lost);
+    }
     m_runs.clear();
     m_closed.clear();
     m_ended.clear();
--- a/tests/dispatch/modelworker.h
+++ b/tests/dispatch/modelworker.h
@@ -23,6 +23,8 @@
     ResourceNeed need;
     Duration runTime{0};
     bool fails = false;
+    // First task of a job that crashes each worker that starts it, this long after the start.
+    std::optional<Duration> crashesAfter;
 };
 
 // Told about each start and end on any worker; judges them.
@@ -32,6 +34,8 @@
     void started(TimePoint now, const std::string &worker, const RunKey &run, const ModelTask &task,
                  const ResourceNeed &held, const ResourceNeed &room);
     void ended(const RunKey &run, RunResult how);
+    // A worker has crashed under this run. A task is started twice at most after three of them.
+    void crashed(const RunKey &run);
     // A start on the worker after this time is a violation, until nothing opens it again. A worker
     // that is closed already keeps its time.
     void close(const std::string &worker, std::optional<TimePoint> after)
@@ -49,6 +53,9 @@
     using Task = std::tuple<JobKey, std::uint32_t, std::uint32_t>;
     std::map<Task, int> m_running;
     std::set<Task> m_doneTasks;
+    // Workers crashed under a task, and starts after the third of them.
+    std::map<Task, int> m_crashes;
+    std::map<Task, int> m_startsAfterCrashes;
     std::map<std::string, std::optional<TimePoint>> m_closedAfter;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
@@ -73,7 +80,7 @@
     using TaskOf = std::function<ModelTask(const RunKey &)>;
 
     ModelWorker(VirtualClock &clock, std::mt19937_64 &random, RunJudge &judge, TaskOf taskOf,
-                ModelWorkerSettings settings);
+                ModelWorkerSettings settings, std::function<void()> crashed);
 
     // Calls of the agent. The answer comes back through the callback, or never.
     void start(const RunKey &run, std::uint64_t token,
@@ -87,6 +94,7 @@
     // Everything that runs is gone, and no call arrives until the worker is started again.
     void crash();
     void startAgain() { m_up = true; }
+    bool isUp() const { return m_up; }
     WorkerProfile profile() const;
     std::size_t running() const { return m_runs.size(); }
 
@@ -124,6 +132,8 @@
     RunJudge &m_judge;
     TaskOf m_taskOf;
     ModelWorkerSettings m_settings;
+    // A task crashes this worker.
+    std::function<void()> m_crashed;
     std::uint64_t m_bornMs = 1;
     std::uint64_t m_token = 0;
     std::uint64_t m_lastEnd = 0;
--- a/tests/dispatch/rundispatchertest.cpp
+++ b/tests/dispatch/rundispatchertest.cpp
@@ -52,6 +52,14 @@
         report.lastOrder = OrderNumber(lastOrder);
         dispatcher.handle(now, agent, report, out);
     }
+    // The agent reports that its worker is gone.
+    void gone(Incarnation agent)
+    {
+        WorkerRoom report;
+        report.sequence = ++reports;
+        report.service = "archive";
+        dispatcher.handle(now, agent, report, out);
+    }
     // A job of one step with this many tasks of 100 ms.
     static KeyedJobSpec job(std::uint64_t key, std::uint32_t tasks, std::uint32_t cpu = 6'000)
     {
@@ -503,7 +511,7 @@
     for (const JobAnswer &answer : out.answers) {
         CHECK(answer.answer.outcome == Outcome::NotRun);
         CHECK(answer.answer.reason == Reason::NoWorker);
-        CHECK(answer.answer.retryAfter >= OverloadRule::EvacuatedRetryAfter);
+        CHECK(answer.answer.retryAfter >= OverloadRule::NoWorkerRetryAfter);
     }
     CHECK(orders().empty());
     // What runs there ends there.
@@ -512,3 +520,42 @@
     REQUIRE(out.answers.size() == 1);
     CHECK(out.answers[0].answer.outcome == Outcome::Completed);
 }
+
+TEST_CASE_METHOD(DispatcherFixture,
+                 "a task under which two workers have crashed is not started again")
+{
+    link(Agent, "a");
+    link(OtherAgent, "b");
+    submit(1, 1);
+    for (int crash = 1; crash <= 2; ++crash) {
+        const auto sent = orders();
+        REQUIRE(sent.size() == 1);
+        clear();
+        gone(sent[0].first);
+        ended(sent[0].first, sent[0].second, RunResult::Lost);
+    }
+    CHECK(orders().empty());
+    REQUIRE(out.answers.size() == 1);
+    CHECK(out.answers[0].answer.outcome == Outcome::Failed);
+    clear();
+    room(Agent, 64'000);
+    submit(1, 1);
+    CHECK(orders().empty());
+    REQUIRE(out.answers.size() == 1);
+    CHECK(out.answers[0].answer.outcome == Outcome::Failed);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "workers that were only cut off are not held against a task")
+{
+    link(Agent, "a");
+    submit(1, 1);
+    for (std::uint64_t cut = 1; cut <= 3; ++cut) {
+        gone(Agent);
+        room(Agent, 64'000, cut);
+    }
+    const auto sent = orders();
+    REQUIRE(sent.size() == 1);
+    ended(Agent, sent[0].second, RunResult::Lost);
+    CHECK(out.answers.empty());
+    CHECK(orders().size() == 2);
+}
--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -212,7 +212,7 @@
     ProcessInfo process;
     process.dataCentre = "oita";
     process.address = "10.0.0.1:7700";
-    CHECK(decodeAdvertisement("edge-1", encodeAdvertisement(process, {"b", "r1-3"}))
+    CHECK(decodeAdvertisement("edge-1", encodeAdvertisement(process, {"b", "r1-3"}, {}))
           == EntryAddress{"edge-1", "oita", "10.0.0.1:7700", {"b", "r1-3"}});
     const auto odd =
         decodeAdvertisement("edge-1", R"({"peer_address":"10.0.0.1:1","wanted_labels":[7,"b"]})");
@@ -222,6 +222,23 @@
     CHECK_FALSE(decodeAdvertisement("edge-1", "\xff\xfe"));
 }
 
+TEST_CASE("confinements in an advertisement are read back until they are over")
+{
+    const auto now = std::chrono::system_clock::time_point(std::chrono::hours(500'000));
+    const Confinement confinement{"archive", 3, 1, {{"lookups", 1}}, {{"side-1", 1}}, 4s};
+    const std::string row = encodeAdvertisement({}, {}, {{confinement, now + 4s}});
+    const std::vector<Confinement> read = decodeConfinements(row, now);
+    REQUIRE(read.size() == 1);
+    CHECK(read[0].service == "archive");
+    CHECK(read[0].confined == 1);
+    CHECK(read[0].queues == confinement.queues);
+    CHECK(read[0].agents == confinement.agents);
+    CHECK(read[0].left == 4s);
+    CHECK(decodeConfinements(row, now + 5s).empty());
+    CHECK(decodeConfinements(R"({"confined":[7,{"groups":9,"until_ms":1e300}]})", now).empty());
+    CHECK(decodeConfinements(R"({"peer_address":"10.0.0.1:1"})", now).empty());
+}
+
 TEST_CASE("random bytes and changed documents are decoded or refused, whatever they are")
 {
     std::mt19937_64 random(20'261'204);
