Ignore confinements with groups that they do not count; let homes with other workers agree

A row of the store with a group number beyond its own count would have written outside of an array with the next crash: one malformed row would have taken each entry down that adopts it. "a confinement with groups that it does not count is ignored" tests it.

Workers that the other home is not linked to belong to a group by the hash of their name, and an adopted confinement no longer doubles the time that the next one lasts.

--- a/source/core/crashisolation.cpp
+++ b/source/core/crashisolation.cpp
@@ -20,13 +20,18 @@
     return dealt;
 }
 
+std::uint64_t hashOf(const std::string &name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
 // Neighbours by name are often on one rack or in one data centre, so workers are dealt out in the
 // order of the hashes of their names.
 std::vector<std::string> inHashOrder(const std::vector<std::string> &names)
 {
     std::vector<std::pair<std::uint64_t, std::string>> hashed;
     for (const std::string &name : names)
-        hashed.emplace_back(XXH3_64bits(name.data(), name.size()), name);
+        hashed.emplace_back(hashOf(name), name);
     std::sort(hashed.begin(), hashed.end());
     std::vector<std::string> ordered;
     for (auto &[hash, name] : hashed)
@@ -72,13 +77,12 @@
 
 void CrashIsolation::countCrash(TimePoint now, Division &division, const std::string &agent)
 {
-    const auto position = division.agents.find(agent);
     division.lastCrash = now;
-    if (position == division.agents.end() || now < division.ignoredUntil)
+    if (now < division.ignoredUntil)
         return;
     if (division.latest.empty())
         division.latestBegan = now;
-    ++division.latest[position->second];
+    ++division.latest[groupOf(division, agent)];
 }
 
 void CrashIsolation::settleLatest(TimePoint now, Service &service, const std::string &name)
@@ -91,19 +95,17 @@
     if (latest.size() == 1) {
         const auto [group, crashes] = *latest.begin();
         division.crashes[group] += crashes;
-        if (division.confined != group && atFault(division, group))
-            confine(now, service, name, group);
+        if (division.confined != group && atFault(division, group)) {
+            confine(division, name, group);
+            service.hold = std::min(service.hold * 2, LongestHold);
+        }
     }
     tell(now, service);
 }
 
-void CrashIsolation::confine(TimePoint now, Service &service, const std::string &name,
-                             std::size_t group)
+void CrashIsolation::confine(Division &division, const std::string &name, std::size_t group)
 {
-    Division &division = *service.division;
     division.confined = group;
-    division.until = std::max(division.until, now + service.hold);
-    service.hold = std::min(service.hold * 2, LongestHold);
     std::string queues;
     for (const auto &[queue, queueGroup] : division.queues)
         queues += queueGroup == group ? (queues.empty() ? "" : ",") + queue : "";
@@ -126,7 +128,7 @@
 
 void CrashIsolation::adopt(TimePoint now, const Confinement &confinement, bool otherGoesFirst)
 {
-    if (confinement.confined >= confinement.groups || confinement.left <= Duration(0))
+    if (!isConsistent(confinement) || confinement.left <= Duration(0))
         return;
     Service &service = m_services[confinement.service];
     const TimePoint until = now + std::min(confinement.left, LongestHold);
@@ -142,11 +144,19 @@
     division.agents = confinement.agents;
     division.crashes.assign(confinement.groups, 0);
     division.until = until;
+    confine(division, confinement.service, confinement.confined);
     service.division = std::move(division);
-    confine(now, service, confinement.service, confinement.confined);
     tell(now, service);
 }
 
+bool CrashIsolation::isConsistent(const Confinement &confinement)
+{
+    const auto known = [&](const auto &item) { return item.second < confinement.groups; };
+    return confinement.groups <= MaxGroups && confinement.confined < confinement.groups
+        && std::all_of(confinement.queues.begin(), confinement.queues.end(), known)
+        && std::all_of(confinement.agents.begin(), confinement.agents.end(), known);
+}
+
 bool CrashIsolation::isSame(const Division &division, const Confinement &confinement)
 {
     return division.confined == confinement.confined && division.queues == confinement.queues
@@ -192,6 +202,13 @@
     }
 }
 
+std::size_t CrashIsolation::groupOf(const Division &division, const std::string &agent)
+{
+    const auto position = division.agents.find(agent);
+    return position != division.agents.end() ? position->second
+                                             : hashOf(agent) % division.crashes.size();
+}
+
 WorkerAccess CrashIsolation::access(const std::string &service, const std::string &queue,
                                     const std::string &agent) const
 {
@@ -199,17 +216,15 @@
     if (division == nullptr)
         return WorkerAccess::Open;
     const auto queueGroup = division->queues.find(queue);
-    const auto agentGroup = division->agents.find(agent);
-    const bool known = queueGroup != division->queues.end() && agentGroup != division->agents.end();
-    if (known && queueGroup->second == agentGroup->second)
+    const bool known = queueGroup != division->queues.end();
+    const std::size_t group = groupOf(*division, agent);
+    if (known && queueGroup->second == group)
         return WorkerAccess::Open;
     if (!division->confined)
         return known ? WorkerAccess::Avoided : WorkerAccess::Open;
-    if (queueGroup != division->queues.end() && queueGroup->second == *division->confined)
+    if (known && queueGroup->second == *division->confined)
         return WorkerAccess::Forbidden;
-    const bool atFault =
-        agentGroup != division->agents.end() && agentGroup->second == *division->confined;
-    return atFault ? WorkerAccess::LastResort : WorkerAccess::Avoided;
+    return group == *division->confined ? WorkerAccess::LastResort : WorkerAccess::Avoided;
 }
 
 bool CrashIsolation::confined(const std::string &service, const std::string &queue) const
--- a/source/core/crashisolation.h
+++ b/source/core/crashisolation.h
@@ -69,7 +69,7 @@
     // A division ends when no worker has crashed for this long. Longer than a worker takes to
     // start again: while all workers of a group are down, none of them can crash.
     static constexpr Duration FirstHold{6'000'000};
-    // The hold doubles each time that the queues of a service are at fault again.
+    // The hold doubles each time that this home finds queues of the service at fault.
     static constexpr Duration LongestHold{60'000'000};
 
     // A worker of the service crashed. Queues: those with a part in its load; agents: those of all
@@ -81,7 +81,8 @@
     void advance(TimePoint now);
 
     // Another home has found this. Takes it over if this home has confined no queue of the service
-    // or the other home goes first; of each two homes it is the same one that does.
+    // or the other home goes first; of each two homes it is the same one that does. Ignores one
+    // that is not consistent.
     void adopt(TimePoint now, const Confinement &confinement, bool otherGoesFirst);
     // What homes that start later are to adopt.
     std::vector<Confinement> confinements(TimePoint now) const;
@@ -125,12 +126,16 @@
                        const std::vector<std::string> &queues,
                        const std::vector<std::string> &agents);
     static void countCrash(TimePoint now, Division &division, const std::string &agent);
+    // Homes are linked to different workers, so one that another home has divided may be unknown.
+    static std::size_t groupOf(const Division &division, const std::string &agent);
     // Judges the latest crashes together.
     void settleLatest(TimePoint now, Service &service, const std::string &name);
     // Confines the queues of the group.
-    void confine(TimePoint now, Service &service, const std::string &name, std::size_t group);
+    static void confine(Division &division, const std::string &name, std::size_t group);
     // Has other homes told if what they know of the division ends too early.
     void tell(TimePoint now, Service &service);
+    // Whether all groups are among those that the confinement counts.
+    static bool isConsistent(const Confinement &confinement);
     static bool isSame(const Division &division, const Confinement &confinement);
     // Whether the group has so many crashes, and the others so few, that its queues are at fault.
     static bool atFault(const Division &division, std::size_t group);
--- a/tests/dispatch/crashisolationtest.cpp
+++ b/tests/dispatch/crashisolationtest.cpp
@@ -196,6 +196,17 @@
     CHECK_FALSE(later.confined(Service, "lookups"));
 }
 
+TEST_CASE_METHOD(IsolationFixture, "a confinement with groups that it does not count is ignored")
+{
+    for (const Confinement &wrong :
+         {Confinement{Service, 3, 1, {{"lookups", 1}}, {{"agent-1", 77}}, 5s},
+          Confinement{Service, 3, 3, {{"lookups", 1}}, {{"agent-1", 1}}, 5s},
+          Confinement{Service, 1'000'000'000, 1, {{"lookups", 1}}, {{"agent-1", 1}}, 5s}}) {
+        isolation.adopt(now, wrong, true);
+        CHECK_FALSE(isolation.confined(Service, "lookups"));
+    }
+}
+
 TEST_CASE("the crashes of many jobs are kept for a while and in bounded memory")
 {
     CrashHistory history;
