--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -8,33 +8,17 @@
 
 namespace {
 
-// A scheduling pass ends after this many tasks that fit no worker. Bounds the cost of a pass when
-// the queue is long.
-constexpr int MaxUnplacedTasksPerPass = 24;
 // 2 ms. A longer delay would let less urgent tasks be placed first.
 constexpr Duration ReturnedOrderRetryDelay{2'000};
 // Run numbers skipped after each returned order: the worker may know higher numbers of the task
 // from an earlier home.
 constexpr std::uint64_t ReturnedOrderRunSkip = 32;
-// A queue with a smaller share of a service's load gets no workers of its own.
-constexpr double LoadedQueueShare = 0.05;
-// 5 s. Homes should agree on which queues are loaded, so the load is averaged over many jobs.
-constexpr Duration QueueLoadTime{5'000'000};
 // 100 ms. Interval between checks whether a task under which a worker has crashed must still wait:
 // the few workers of a confined queue are kept for other tasks.
 constexpr Duration CrashedTaskDelay{100'000};
 // 100 ms. Interval between checks whether a late job can still be served.
 constexpr Duration LateCheckInterval{100'000};
 
-// Tasks of one scheduling pass that fit no worker.
-struct UnplacedTasks
-{
-    int count = 0;
-    UnplacedNeeds needs;
-
-    bool enough() const { return count >= MaxUnplacedTasksPerPass; }
-};
-
 Answer endedWith(Outcome outcome, Reason reason)
 {
     Answer answer;
@@ -118,9 +102,7 @@
     job.rank = m_settings.order.rank(now, job);
     m_waiting.noteIfEmpty(now);
     m_demand.arrived(now, job);
-    m_queueLoads[job.rule.service]
-        .try_emplace(job.rule.name, QueueLoadTime)
-        .first->second.add(now, job.estimate.work);
+    m_queueLoads.arrived(now, job);
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
@@ -153,8 +135,8 @@
     m_isolation.advance(now);
     Batches batches;
     // The tasks of confined queues wait for other workers than the rest.
-    UnplacedTasks open;
-    UnplacedTasks confined;
+    UnplacedNeeds open;
+    UnplacedNeeds confined;
     const WaitingTasks::Queue &queue = m_waiting.queue();
     for (auto position = queue.begin(); position != queue.end() && !open.enough();) {
         const auto current = position++;
@@ -162,10 +144,10 @@
         KeyedJob &job = m_jobs.at(ref.job);
         const KeyedTask &task = job.tasks[ref.step][ref.index];
         const KeyedStep &step = job.spec.steps[ref.step];
-        UnplacedTasks &unplaced =
+        UnplacedNeeds &unplaced =
             m_isolation.confined(job.rule.service, job.rule.name) ? confined : open;
-        if (unplaced.enough() || unplaced.needs.cannotPlace(job.rule.service, step.need)) {
-            ++unplaced.count;
+        if (unplaced.enough() || unplaced.cannotPlace(job.rule.service, step.need)) {
+            unplaced.count();
             continue;
         }
         const std::vector<Incarnation> excluded = agentsAtLimit(job, ref.step);
@@ -185,8 +167,8 @@
         const std::optional<Placement> placement = m_settings.choice.choose(m_workers, request);
         if (!placement) {
             if (step.runsOnAnyWorker())
-                unplaced.needs.add(job.rule.service, step.need);
-            ++unplaced.count;
+                unplaced.add(job.rule.service, step.need);
+            unplaced.count();
             continue;
         }
         m_waiting.remove(current);
@@ -384,7 +366,7 @@
     ++m_statistics.workerCrashes;
     markRuns(record.agent.incarnation, true);
     const std::string &service = record.room->service;
-    m_isolation.workerCrashed(now, service, record.agent.name, loadedQueues(now, service),
+    m_isolation.workerCrashed(now, service, record.agent.name, m_queueLoads.loaded(now, service),
                               m_workers.agentNames(service));
     refuseHopelessJobs(now, out);
 }
@@ -407,23 +389,6 @@
     }
 }
 
-std::vector<std::string> RunDispatcher::loadedQueues(TimePoint now,
-                                                     const std::string &service) const
-{
-    std::vector<std::string> loaded;
-    const auto queues = m_queueLoads.find(service);
-    if (queues == m_queueLoads.end())
-        return loaded;
-    double total = 0;
-    for (const auto &[queue, load] : queues->second)
-        total += load.rate(now);
-    for (const auto &[queue, load] : queues->second) {
-        if (load.rate(now) >= total * LoadedQueueShare)
-            loaded.push_back(queue);
-    }
-    return loaded;
-}
-
 KeyedTask *RunDispatcher::findTask(const RunKey &run, Incarnation agent)
 {
     const auto position = m_jobs.find(run.job);
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -13,12 +13,12 @@
 #include "core/joborder.h"
 #include "core/jobrefusal.h"
 #include "core/keyedjob.h"
+#include "core/queueloads.h"
 #include "core/timerheap.h"
 #include "core/urgentdemand.h"
 #include "core/waitingtasks.h"
 #include "core/workerchoice.h"
 #include "core/workerregistry.h"
-#include "core/workrate.h"
 
 #include <cstdint>
 #include <map>
@@ -189,8 +189,6 @@
     void workerCrashed(TimePoint now, const WorkerRecord &record, DispatchOutbox &out);
     // The worker runs what this home has ordered there, or does no longer.
     void markRuns(Incarnation agent, bool workerCrashed);
-    // Queues with a part in the recent load of the service.
-    std::vector<std::string> loadedQueues(TimePoint now, const std::string &service) const;
     // Refuses the jobs that have not started and for which no worker is left.
     void refuseHopelessJobs(TimePoint now, DispatchOutbox &out);
     // Delay before a task is tried again, or looked at again, because a worker crashed under it.
@@ -228,8 +226,7 @@
     JobRefusal m_refusal;
     CrashIsolation m_isolation;
     CrashHistory m_crashes;
-    // Arrival rate of the work of each queue, by service and queue.
-    std::map<std::string, std::map<std::string, WorkRate>> m_queueLoads;
+    QueueLoads m_queueLoads;
     std::unordered_map<JobKey, KeyedJob> m_jobs;
     std::unordered_map<CallId, JobKey> m_calls;
     // Seed of the jitter of the latest placement; increases by one with each placement.
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -1,7 +1,7 @@
 #include "core/runtracker.h"
 
-#include "core/keyedjob.h"
 #include "core/standstill.h"
+#include "core/trackerlog.h"
 #include "kernel/log.h"
 
 #include <algorithm>
@@ -496,8 +496,7 @@
             returnWaiting(now, out);
         }
         if (suspendedBefore && !m_watch.onProbation())
-            LogEvent(LogLevel::Info, "worker_resumed")
-                .field("worker", m_worker ? m_worker->identity.name : "");
+            LogEvent(LogLevel::Info, "worker_resumed").field("worker", workerName());
         m_statistics.count(how);
     }
     m_retainedEnds[key] = RetainedEnd{ended, now};
@@ -553,35 +552,17 @@
 
 void RunTracker::logSuspension(TimePoint now, std::string_view reason) const
 {
-    LogEvent(LogLevel::Warning, "worker_suspended")
-        .field("worker", m_worker ? m_worker->identity.name : "")
-        .field("reason", reason)
-        .field("runs", m_runs.size())
-        .field("last_end_ms_ago", (now - m_watch.lastEnd()).count() / 1000)
-        .field("probe_in_ms", (*m_watch.probeAt() - now).count() / 1000);
+    logWorkerSuspended(now, workerName(), reason, m_runs.size(), m_watch);
 }
 
 void RunTracker::logUnavailable(TimePoint now, std::string_view reason) const
 {
-    // A task that crashes its worker is one of those that started last.
-    constexpr std::size_t MostRunsLogged = 8;
-    std::vector<std::pair<TimePoint, RunKey>> started;
+    std::vector<StartedRun> started;
     for (const auto &[key, run] : m_runs) {
         if (run.state != RunState::Waiting)
             started.emplace_back(run.started, key);
     }
-    std::sort(started.rbegin(), started.rend());
-    std::string youngest;
-    for (std::size_t i = 0; i < std::min(started.size(), MostRunsLogged); ++i) {
-        const auto &[since, key] = started[i];
-        youngest += (i > 0 ? "," : "") + jobKeyText(key.job) + '.' + std::to_string(key.step) + '.'
-            + std::to_string(key.index) + '@' + std::to_string((now - since).count() / 1000);
-    }
-    LogEvent(LogLevel::Warning, "worker_unavailable")
-        .field("worker", m_worker ? m_worker->identity.name : "")
-        .field("reason", reason)
-        .field("runs", started.size())
-        .field("youngest_ms", youngest);
+    logWorkerUnavailable(now, workerName(), reason, std::move(started));
 }
 
 void RunTracker::replaceWorker(TimePoint now, RunOutbox &out)
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -212,6 +212,10 @@
     void checkStandstill(TimePoint now, RunOutbox &out);
     void suspend(TimePoint now, std::string_view reason, RunOutbox &out);
     void logSuspension(TimePoint now, std::string_view reason) const;
+    std::string_view workerName() const
+    {
+        return m_worker ? std::string_view(m_worker->identity.name) : std::string_view();
+    }
     void logUnavailable(TimePoint now, std::string_view reason) const;
     void adoptForeignRun(TimePoint now, const RunKey &key, TimePoint askedAt, RunOutbox &out);
     // The worker was replaced by another one. Runs that the earlier one is known to have run are
--- /dev/null
+++ b/source/core/trackerlog.cpp
@@ -0,0 +1,46 @@
+#include "core/trackerlog.h"
+
+#include "core/keyedjob.h"
+#include "kernel/log.h"
+
+#include <algorithm>
+#include <string>
+
+namespace Bluebellquay {
+
+namespace {
+
+constexpr std::size_t MaxRunsLogged = 8;
+constexpr Duration OneMillisecond{1'000};
+
+} // namespace
+
+void logWorkerUnavailable(TimePoint now, std::string_view worker, std::string_view reason,
+                          std::vector<StartedRun> runs)
+{
+    std::sort(runs.rbegin(), runs.rend());
+    std::string youngest;
+    for (std::size_t i = 0; i < std::min(runs.size(), MaxRunsLogged); ++i) {
+        const auto &[started, run] = runs[i];
+        youngest += (i > 0 ? "," : "") + jobKeyText(run.job) + '.' + std::to_string(run.step) + '.'
+            + std::to_string(run.index) + '@' + std::to_string((now - started) / OneMillisecond);
+    }
+    LogEvent(LogLevel::Warning, "worker_unavailable")
+        .field("worker", worker)
+        .field("reason", reason)
+        .field("runs", runs.size())
+        .field("youngest_ms", youngest);
+}
+
+void logWorkerSuspended(TimePoint now, std::string_view worker, std::string_view reason,
+                        std::size_t runs, const WorkerHealth &health)
+{
+    LogEvent(LogLevel::Warning, "worker_suspended")
+        .field("worker", worker)
+        .field("reason", reason)
+        .field("runs", runs)
+        .field("last_end_ms_ago", (now - health.lastEnd()) / OneMillisecond)
+        .field("probe_in_ms", (*health.probeAt() - now) / OneMillisecond);
+}
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/trackerlog.h
@@ -0,0 +1,26 @@
+// Log events of the run tracker.
+#pragma once
+
+#include "base/runmessages.h"
+#include "core/workerhealth.h"
+
+#include <cstddef>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Bluebellquay {
+
+// A run that has been started, with the time of its start.
+using StartedRun = std::pair<TimePoint, RunKey>;
+
+// The worker is gone or does not answer. Logs the runs that started last: a task that crashes its
+// worker is among them.
+void logWorkerUnavailable(TimePoint now, std::string_view worker, std::string_view reason,
+                          std::vector<StartedRun> runs);
+
+// No orders are taken until a run has tried the worker.
+void logWorkerSuspended(TimePoint now, std::string_view worker, std::string_view reason,
+                        std::size_t runs, const WorkerHealth &health);
+
+} // namespace Bluebellquay
--- a/source/core/unplacedneeds.h
+++ b/source/core/unplacedneeds.h
@@ -1,6 +1,6 @@
-// Needs that did not fit any worker during one scheduling pass. In a long queue most waiting tasks
-// are alike, so a task that needs at least as much as one that was not placed need not be tried on
-// every worker.
+// Tasks that did not fit any worker during one scheduling pass, and their needs. In a long queue
+// most waiting tasks are alike, so a task that needs at least as much as one that was not placed
+// need not be tried on every worker.
 #pragma once
 
 #include "base/messages.h"
@@ -15,6 +15,13 @@
 class UnplacedNeeds
 {
 public:
+    // No further task is tried after this many. Bounds the cost of a pass when the queue is long.
+    static constexpr int MaxTasks = 24;
+
+    // Counts a task that was not placed.
+    void count() { ++m_tasks; }
+    bool enough() const { return m_tasks >= MaxTasks; }
+
     // Records that no worker of the service has room for this need.
     void add(const std::string &service, const ResourceNeed &need)
     {
@@ -32,6 +39,7 @@
     }
 
 private:
+    int m_tasks = 0;
     // The service names must outlive this object, which lives for one scheduling pass.
     std::vector<std::pair<const std::string *, ResourceNeed>> m_needs;
 };
