Keep queues in their groups while workers go on crashing

Cause: a divided queue only prefers the workers of its group. At a crest its group is full, its tasks start in the other groups as well, and crash workers there. Crashes in several groups say nothing of the queues, so none is confined. The tasks of each queue also waited together, so that those of one full group held back the others.

Change: from the second crash after a division on, each queue stays in its group until no worker has crashed for 2 s. The first crash alone changes nothing for it: most crashes come alone. Unplaced tasks are counted by queue meanwhile.

Test: "queues keep apart while workers go on crashing"; before, the access was Avoided instead of Forbidden.

--- a/source/core/crashisolation.cpp
+++ b/source/core/crashisolation.cpp
@@ -80,6 +80,7 @@
     division.lastCrash = now;
     if (now < division.ignoredUntil)
         return;
+    division.apart = true;
     if (division.latest.empty())
         division.latestBegan = now;
     ++division.latest[groupOf(division, agent)];
@@ -189,8 +190,11 @@
 void CrashIsolation::advance(TimePoint now)
 {
     for (auto &[name, service] : m_services) {
-        if (service.division)
+        if (service.division) {
             settleLatest(now, service, name);
+            service.division->apart =
+                service.division->apart && now < service.division->lastCrash + ApartSpan;
+        }
         if (!service.division || now < service.division->until)
             continue;
         if (service.division->confined)
@@ -220,8 +224,10 @@
     const std::size_t group = groupOf(*division, agent);
     if (known && queueGroup->second == group)
         return WorkerAccess::Open;
+    if (!division->confined && known)
+        return division->apart ? WorkerAccess::Forbidden : WorkerAccess::Avoided;
     if (!division->confined)
-        return known ? WorkerAccess::Avoided : WorkerAccess::Open;
+        return WorkerAccess::Open;
     if (known && queueGroup->second == *division->confined)
         return WorkerAccess::Forbidden;
     return group == *division->confined ? WorkerAccess::LastResort : WorkerAccess::Avoided;
--- a/source/core/crashisolation.h
+++ b/source/core/crashisolation.h
@@ -3,11 +3,11 @@
 // runs there is lost for seconds.
 //
 // After a crash the workers of the service are divided into groups for a while, and each queue
-// prefers the workers of one group. The group in which workers go on crashing shows which queue is
-// at fault. That queue is then confined to its group, which the others avoid, until no worker has
-// crashed for a while. The others stay apart meanwhile, so that a wrong finding shows. Workers that
-// crash at the same time in several groups have lost power or a network, and say nothing of the
-// queues.
+// prefers the workers of one group, or stays there if workers go on crashing. The group in which
+// they do shows which queue is at fault. That queue is then confined to its group, which the others
+// avoid, until no worker has crashed for a while. The others stay apart meanwhile, so that a wrong
+// finding shows. Workers that crash at the same time in several groups have lost power or a
+// network, and say nothing of the queues.
 //
 // All homes see the crashes of all workers that they share, and divide queues and workers by name,
 // so they mostly come to the same division without messages. Homes tell each other what they have
@@ -31,7 +31,7 @@
     Open,
     Avoided,    // only if no open worker has room
     LastResort, // only if no other worker has room
-    Forbidden,  // the queue is confined to other workers
+    Forbidden,  // the queue is confined to other workers, or kept there for a while
 };
 
 // A division in which the queues of one group are confined, as homes tell each other.
@@ -66,6 +66,9 @@
     // 1 s. Until no worker has crashed for this long, or the queues at fault are found, tasks under
     // which a worker has crashed would only crash more of them.
     static constexpr Duration QuietSpan{1'000'000};
+    // 2 s. When workers crash again after a division, each queue stays in its group for this long
+    // after each crash, so that the next crash tells more. Before that it only prefers its group.
+    static constexpr Duration ApartSpan{2'000'000};
     // A division ends when no worker has crashed for this long. Longer than a worker takes to
     // start again: while all workers of a group are down, none of them can crash.
     static constexpr Duration FirstHold{6'000'000};
@@ -91,6 +94,8 @@
 
     WorkerAccess access(const std::string &service, const std::string &queue,
                         const std::string &agent) const;
+    // Whether the queues of the service are kept apart.
+    bool divided(const std::string &service) const { return divisionOf(service) != nullptr; }
     // Whether the queue is at fault and confined to a group of the service's workers.
     bool confined(const std::string &service, const std::string &queue) const;
     // Whether a task of the queue under which a worker has crashed is to wait.
@@ -108,6 +113,8 @@
         std::map<std::size_t, unsigned> latest;
         TimePoint latestBegan{};
         TimePoint lastCrash{};
+        // Each queue stays in its group, since workers have crashed after the division.
+        bool apart = false;
         // Crashes until then may be due to tasks that were placed before the division.
         TimePoint ignoredUntil{};
         // The group whose queues are at fault.
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -134,18 +134,20 @@
 {
     m_isolation.advance(now);
     Batches batches;
-    // The tasks of confined queues wait for other workers than the rest.
-    UnplacedNeeds open;
-    UnplacedNeeds confined;
+    // By queue where the queues of a service are kept apart, so that each waits for other workers.
+    std::map<std::string_view, UnplacedNeeds> unplacedByQueue;
     const WaitingTasks::Queue &queue = m_waiting.queue();
-    for (auto position = queue.begin(); position != queue.end() && !open.enough();) {
+    for (auto position = queue.begin(); position != queue.end();) {
         const auto current = position++;
         const TaskRef ref = current->second;
         KeyedJob &job = m_jobs.at(ref.job);
         const KeyedTask &task = job.tasks[ref.step][ref.index];
         const KeyedStep &step = job.spec.steps[ref.step];
+        const bool divided = m_isolation.divided(job.rule.service);
         UnplacedNeeds &unplaced =
-            m_isolation.confined(job.rule.service, job.rule.name) ? confined : open;
+            unplacedByQueue[divided ? std::string_view(job.rule.name) : std::string_view()];
+        if (unplaced.enough() && !divided)
+            break;
         if (unplaced.enough() || unplaced.cannotPlace(job.rule.service, step.need)) {
             unplaced.count();
             continue;
--- a/tests/dispatch/crashisolationtest.cpp
+++ b/tests/dispatch/crashisolationtest.cpp
@@ -149,6 +149,17 @@
     CHECK(groupOf("fetches").size() == agents.size());
 }
 
+TEST_CASE_METHOD(IsolationFixture, "queues keep apart while workers go on crashing")
+{
+    divide();
+    const std::string other = groupOf("fetches")[0];
+    CHECK(isolation.access(Service, "lookups", other) == WorkerAccess::Avoided);
+    crash(groupOf("lookups")[0]);
+    CHECK(isolation.access(Service, "lookups", other) == WorkerAccess::Forbidden);
+    isolation.advance(now + CrashIsolation::ApartSpan);
+    CHECK(isolation.access(Service, "lookups", other) == WorkerAccess::Avoided);
+}
+
 TEST_CASE_METHOD(IsolationFixture, "workers that crash at the same time say nothing of the queues")
 {
     divide();
