Look at a worker at once when a call to it breaks

What callers saw: for up to 130 ms after a worker had crashed, all homes went on ordering from it. Tasks that were sent there meanwhile were late or lost with it.

Cause: an agent finds a crash with its next new connection. Renewals wait on connections that hear nothing from a process that is gone; a start that breaks such a connection was only repeated, on the next connection that was kept.

Change: a reply says whether the connection broke.

Test: "a worker whose connections break is found gone before the next renewal"; before: not found within 5 s with renewals 50 s apart.

--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -47,6 +47,22 @@
     setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedTimeoutMs);
 }
 
+HttpReply notSent(bool refused)
+{
+    HttpReply reply;
+    reply.end = HttpCallEnd::NotSent;
+    reply.refused = refused;
+    return reply;
+}
+
+HttpReply noAnswer(bool disconnected)
+{
+    HttpReply reply;
+    reply.end = HttpCallEnd::NoAnswer;
+    reply.disconnected = disconnected;
+    return reply;
+}
+
 } // namespace
 
 struct HttpClient::State
@@ -120,7 +136,7 @@
     m_request.prepare_payload();
     m_timeout = m_state->timers.at(m_state->timers.now() + call.timeout, [this](TimePoint) {
         const auto self = shared_from_this();
-        finish({m_sent ? HttpCallEnd::NoAnswer : HttpCallEnd::NotSent, 0, {}}, false);
+        finish(m_sent ? noAnswer(false) : notSent(false), false);
     });
     if (m_connected)
         send();
@@ -137,8 +153,7 @@
             if (generation != self->m_generation || !self->m_callback)
                 return;
             if (error)
-                return self->finish(
-                    {HttpCallEnd::NotSent, 0, {}, error == asio::error::connection_refused}, false);
+                return self->finish(notSent(error == asio::error::connection_refused), false);
             self->m_connected = true;
             detectSilence(self->m_socket);
             self->send();
@@ -154,7 +169,7 @@
                           if (generation != self->m_generation || !self->m_callback)
                               return;
                           if (error)
-                              return self->finish({HttpCallEnd::NoAnswer, 0, {}}, false);
+                              return self->finish(noAnswer(true), false);
                           self->receive();
                       });
 }
@@ -170,9 +185,12 @@
             if (generation != self->m_generation || !self->m_callback)
                 return;
             if (error)
-                return self->finish({HttpCallEnd::NoAnswer, 0, {}}, false);
+                return self->finish(noAnswer(true), false);
             http::response<http::string_body> message = self->m_parser->release();
-            HttpReply reply{HttpCallEnd::Answered, message.result_int(), std::move(message.body())};
+            HttpReply reply;
+            reply.end = HttpCallEnd::Answered;
+            reply.status = message.result_int();
+            reply.body = std::move(message.body());
             self->finish(std::move(reply), message.keep_alive());
         });
 }
--- a/source/net/httpclient.h
+++ b/source/net/httpclient.h
@@ -42,6 +42,8 @@
     // Valid if answered.
     unsigned status = 0;
     std::string body;
+    // Set with NoAnswer if the connection ended before the answer, rather than the time.
+    bool disconnected = false;
     // Set with NotSent if nothing listens at the server's address, as its machine has said.
     bool refused = false;
 
--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -3,11 +3,17 @@
 #include "net/httpserver.h"
 
 #include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 using namespace Bluebellquay;
 using namespace Bluebellquay::Platform;
@@ -98,6 +104,84 @@
     int starts = 0;
 };
 
+// Answers its first call. With its first start it is gone, as a crashed process is: that connection
+// breaks and nothing listens any more, while the renewals that wait on others hear nothing.
+class VanishingWorker
+{
+public:
+    VanishingWorker() { accept(); }
+
+    // The next renewal is due later than this.
+    bool foundGoneWithin(Duration span)
+    {
+        PlatformBounds bounds;
+        bounds.longestLease = 100 * span;
+        bool accounted = false;
+        bool gone = false;
+        WorkerClient client(m_context, m_timers, bounds, 1,
+                            {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
+                             [&](const RunListing &) { accounted = true; }, [] { return true; },
+                             [] {}, [&] { gone = true; }, [] {}});
+        client.follow({"i-1", 7}, m_acceptor.local_endpoint());
+        for (const TimePoint end = m_timers.now() + span; !gone && m_timers.now() < end;) {
+            if (std::exchange(accounted, false))
+                client.start({RunKey{JobKey(1), 0, 0, RunNumber(1)}, "payload"});
+            m_context.run_one_for(1ms);
+        }
+        return gone;
+    }
+
+private:
+    using Tcp = boost::asio::ip::tcp;
+    struct Connection
+    {
+        explicit Connection(Tcp::socket accepted)
+            : socket(std::move(accepted))
+        { }
+        Tcp::socket socket;
+        std::array<char, 4'096> data{};
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &error, Tcp::socket socket) {
+            if (error)
+                return;
+            m_connections.push_back(std::make_unique<Connection>(std::move(socket)));
+            read(*m_connections.back());
+            accept();
+        });
+    }
+    void read(Connection &connection)
+    {
+        connection.socket.async_read_some(
+            boost::asio::buffer(connection.data),
+            [&, this](const boost::system::error_code &error, std::size_t bytes) {
+                if (error)
+                    return;
+                const std::string text(connection.data.data(), bytes);
+                if (text.find("/v1/run-start") != std::string::npos) {
+                    m_acceptor.close();
+                    connection.socket.close();
+                    return;
+                }
+                if (!std::exchange(m_answered, true))
+                    boost::asio::write(connection.socket, boost::asio::buffer(Listing));
+                read(connection);
+            });
+    }
+
+    static constexpr std::string_view Listing =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 51\r\n\r\n"
+        R"({"clockMs":5000,"running":[],"ended":[],"born":7}  )";
+
+    boost::asio::io_context m_context;
+    TimerService m_timers{m_context};
+    Tcp::acceptor m_acceptor{m_context, {boost::asio::ip::address_v4::loopback(), 0}};
+    std::vector<std::unique_ptr<Connection>> m_connections;
+    bool m_answered = false;
+};
+
 } // namespace
 
 TEST_CASE("an agent that starts after its clock was set back still gets its orders carried out")
@@ -122,3 +206,9 @@
     FencedWorker worker;
     CHECK(worker.crashWithin(10s, 500ms).leasesExpired == 1);
 }
+
+TEST_CASE("a worker whose connections break is found gone before the next renewal")
+{
+    VanishingWorker worker;
+    CHECK(worker.foundGoneWithin(5s));
+}
