Leave queues that share no workers out of each other's load

Cause: an urgent queue that is confined to some workers still counted as work that goes first on all of them. Other queues were refused for it, left room for it where it could not start, and its waiting tasks made their backlog look old.

Change: UrgentDemand and WaitingTasks know queues, and what a job competes with is what may take workers from it. Without a division nothing changes.

Test: "queues that share no workers are not in each other's load"; before, the load could not tell queues of one priority apart.

--- a/source/core/crashisolation.cpp
+++ b/source/core/crashisolation.cpp
@@ -242,6 +242,20 @@
     return group != division->queues.end() && group->second == *division->confined;
 }
 
+bool CrashIsolation::shareWorkers(const std::string &service, const std::string &queue,
+                                  const std::string &other) const
+{
+    const Division *division = divisionOf(service);
+    if (division == nullptr)
+        return true;
+    if (division->confined)
+        return confined(service, queue) == confined(service, other);
+    const auto group = division->queues.find(queue);
+    const auto otherGroup = division->queues.find(other);
+    return !division->apart || group == division->queues.end()
+        || otherGroup == division->queues.end() || group->second == otherGroup->second;
+}
+
 bool CrashIsolation::mustWait(TimePoint now, const std::string &service,
                               const std::string &queue) const
 {
--- a/source/core/crashisolation.h
+++ b/source/core/crashisolation.h
@@ -98,6 +98,9 @@
     bool divided(const std::string &service) const { return divisionOf(service) != nullptr; }
     // Whether the queue is at fault and confined to a group of the service's workers.
     bool confined(const std::string &service, const std::string &queue) const;
+    // Whether tasks of the two queues may take room that the other one waits for.
+    bool shareWorkers(const std::string &service, const std::string &queue,
+                      const std::string &other) const;
     // Whether a task of the queue under which a worker has crashed is to wait.
     bool mustWait(TimePoint now, const std::string &service, const std::string &queue) const;
 
--- a/source/core/jobrefusal.cpp
+++ b/source/core/jobrefusal.cpp
@@ -1,5 +1,6 @@
 #include "core/jobrefusal.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace Bluebellquay {
@@ -8,7 +9,7 @@
 {
     // A late job only delays other jobs that wait beside it, so it must be done by its objective if
     // there are any.
-    const TimePoint latest = load.waiting.anyBut(job.spec.key) ? job.objective : usefulUntil(job);
+    const TimePoint latest = anyWaitsBeside(job, load) ? job.objective : usefulUntil(job);
     return m_overload.wouldFinishTooLate(loadBefore(now, job, load), job.estimate.criticalPath,
                                          latest - now);
 }
@@ -37,18 +38,29 @@
     return total;
 }
 
+bool JobRefusal::competes(const KeyedJob &job, const QueueRule &other, const HomeLoad &load)
+{
+    return other.service == job.rule.service
+        && load.isolation.shareWorkers(other.service, job.rule.name, other.name);
+}
+
+bool JobRefusal::anyWaitsBeside(const KeyedJob &job, const HomeLoad &load)
+{
+    return std::any_of(
+        load.waiting.queue().begin(), load.waiting.queue().end(), [&](const auto &item) {
+            const JobKey key = item.second.job;
+            return key != job.spec.key && competes(job, load.jobs.at(key).rule, load);
+        });
+}
+
 ServiceLoad JobRefusal::loadBefore(TimePoint now, const KeyedJob &job, const HomeLoad &load)
 {
     ServiceLoad before;
-    const bool confined = load.isolation.confined(job.rule.service, job.rule.name);
     for (const auto &[rank, ref] : load.waiting.queue()) {
         if (rank > job.rank)
             break;
         const KeyedJob &waiting = load.jobs.at(ref.job);
-        // The tasks of a confined queue take no room of others that they could wait for, and the
-        // other way round.
-        if (waiting.rule.service != job.rule.service
-            || load.isolation.confined(waiting.rule.service, waiting.rule.name) != confined)
+        if (!competes(job, waiting.rule, load))
             continue;
         before.waitingWork += JobEstimate::workOfTask(waiting.spec.steps[ref.step],
                                                       waiting.estimate.runTimes[ref.step]);
@@ -57,8 +69,10 @@
     // All work that is not late goes before a job that is late, whatever its priority.
     const std::uint32_t priority =
         job.rank.late ? std::numeric_limits<std::uint32_t>::max() : job.rule.priority;
-    before.arrivingWork = load.demand.work(now, job.rule.service, priority);
-    before.backlogAge = load.waiting.backlogAge(now);
+    before.arrivingWork = load.demand.work(now, job.rule, priority, load.isolation);
+    before.backlogAge = load.waiting.backlogAge(now, [&](const std::string &queue) {
+        return load.isolation.shareWorkers(job.rule.service, job.rule.name, queue);
+    });
     return before;
 }
 
--- a/source/core/jobrefusal.h
+++ b/source/core/jobrefusal.h
@@ -48,6 +48,10 @@
     Answer answer(TimePoint now, const KeyedJob &job, Reason reason, const HomeLoad &load) const;
 
 private:
+    // Whether tasks of a queue with this rule may take room that the job waits for.
+    static bool competes(const KeyedJob &job, const QueueRule &other, const HomeLoad &load);
+    // Whether tasks of such a queue wait that are not the job's.
+    static bool anyWaitsBeside(const KeyedJob &job, const HomeLoad &load);
     // This home's share of the processors of the workers on which the job's tasks may be placed.
     static double availableMilliProcessors(const KeyedJob &job, const HomeLoad &load);
     // Load of the job's service, counting the work that is placed before the job.
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -106,7 +106,7 @@
     job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
-    makeReadySteps(job);
+    makeReadySteps(now, job);
     // A job that has not started by half of its time is refused, so that its caller can still
     // submit it elsewhere.
     const TimePoint halfTime = job.arrived + (job.deadline - job.arrived) / 2;
@@ -117,17 +117,18 @@
     m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
 }
 
-void RunDispatcher::makeReadySteps(KeyedJob &job)
+void RunDispatcher::makeReadySteps(TimePoint now, KeyedJob &job)
 {
     for (const std::uint32_t step : unblockSteps(job)) {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index)
-            makeReady(job, step, index);
+            makeReady(now, job, step, index);
     }
 }
 
-void RunDispatcher::makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index)
+void RunDispatcher::makeReady(TimePoint now, const KeyedJob &job, std::uint32_t step,
+                              std::uint32_t index)
 {
-    m_waiting.add(job.rank, TaskRef{job.spec.key, step, index});
+    m_waiting.add(now, job, TaskRef{job.spec.key, step, index});
 }
 
 void RunDispatcher::dispatch(TimePoint now, DispatchOutbox &out)
@@ -138,8 +139,7 @@
     std::map<std::string_view, UnplacedNeeds> unplacedByQueue;
     const WaitingTasks::Queue &queue = m_waiting.queue();
     for (auto position = queue.begin(); position != queue.end();) {
-        const auto current = position++;
-        const TaskRef ref = current->second;
+        const TaskRef ref = (position++)->second;
         KeyedJob &job = m_jobs.at(ref.job);
         const KeyedTask &task = job.tasks[ref.step][ref.index];
         const KeyedStep &step = job.spec.steps[ref.step];
@@ -154,7 +154,7 @@
         }
         const std::vector<Incarnation> excluded = agentsAtLimit(job, ref.step);
         const UrgentReserve reserve =
-            m_demand.reserve(now, job.rule, m_workers, m_settings.reservedDeviations);
+            m_demand.reserve(now, job.rule, m_workers, m_isolation, m_settings.reservedDeviations);
         const PlacementRequest request{job.rule.service,
                                        step,
                                        job.estimate.runTimes[ref.step],
@@ -173,7 +173,7 @@
             unplaced.count();
             continue;
         }
-        m_waiting.remove(current);
+        m_waiting.remove(job, ref);
         order(now, job, ref, *placement, batches);
     }
     m_waiting.noteIfEmpty(now);
@@ -459,7 +459,7 @@
     } else if (!job.released && job.tasksLeft == 0) {
         finish(now, job, endedWith(Outcome::Completed, Reason::None), out);
     } else if (!job.released) {
-        makeReadySteps(job);
+        makeReadySteps(now, job);
     }
     removeIfDrained(now, ref.job, out);
 }
@@ -485,7 +485,7 @@
         return;
     }
     task.phase = TaskPhase::Ready;
-    makeReady(job, ref.step, ref.index);
+    makeReady(now, job, ref.step, ref.index);
 }
 
 void RunDispatcher::finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out)
@@ -519,7 +519,7 @@
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
             if (job.tasks[step][index].phase == TaskPhase::Ready)
-                m_waiting.remove(job.rank, TaskRef{job.spec.key, step, index});
+                m_waiting.remove(job, TaskRef{job.spec.key, step, index});
         }
     }
     for (auto &[agent, message] : runsToStop(job))
@@ -607,13 +607,13 @@
     std::vector<TaskRef> waiting;
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-            if (m_waiting.remove(job.rank, TaskRef{key, step, index}))
+            if (m_waiting.remove(job, TaskRef{key, step, index}))
                 waiting.push_back({key, step, index});
         }
     }
     job.rank = m_settings.order.rank(now, job);
     for (const TaskRef &ref : waiting)
-        makeReady(job, ref.step, ref.index);
+        makeReady(now, job, ref.step, ref.index);
     m_timers.schedule(now + LateCheckInterval, Timer{TimerKind::Late, {key, 0, 0}, {}});
 }
 
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -170,9 +170,9 @@
     // Adds a job to the queue: computes its objective and rank, and schedules its timers.
     void addJob(TimePoint now, KeyedJob opened);
     // Queues the tasks of all steps whose dependencies are done.
-    void makeReadySteps(KeyedJob &job);
+    void makeReadySteps(TimePoint now, KeyedJob &job);
     // Queues one task for placement.
-    void makeReady(const KeyedJob &job, std::uint32_t step, std::uint32_t index);
+    void makeReady(TimePoint now, const KeyedJob &job, std::uint32_t step, std::uint32_t index);
     // Runs a scheduling pass: places waiting tasks on workers, in the order of their ranks.
     void dispatch(TimePoint now, DispatchOutbox &out);
     // Expected run time on a worker of ordinary speed, in or outside the rack of the task's data.
--- a/source/core/urgentdemand.h
+++ b/source/core/urgentdemand.h
@@ -3,6 +3,7 @@
 // jobs run would wait until these end.
 #pragma once
 
+#include "core/crashisolation.h"
 #include "core/keyedjob.h"
 #include "core/workerregistry.h"
 #include "core/workrate.h"
@@ -12,7 +13,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 
 namespace Bluebellquay {
 
@@ -31,7 +31,7 @@
     // Adds a job that has just arrived to the demand of its queue.
     void arrived(TimePoint now, const KeyedJob &job)
     {
-        Rates &rates = m_rates[{job.rule.service, job.rule.priority}];
+        Rates &rates = m_rates[{job.rule.service, job.rule.priority, job.rule.name}];
         rates.work.add(now, job.estimate.work);
         // For jobs that arrive at random times, the mean number of processors in use is the arrival
         // rate times processors times run time. The variance of that number is the arrival rate
@@ -43,11 +43,13 @@
             rates.taskNeed += (step.need.milliProcessors - rates.taskNeed) * SmoothingFactor;
     }
 
-    // Arrival rate, per microsecond, of work in queues that are more urgent than this priority.
-    double work(TimePoint now, const std::string &service, std::uint32_t priority) const
+    // Arrival rate, per microsecond, of work that is placed before jobs of this queue with this
+    // priority.
+    double work(TimePoint now, const QueueRule &rule, std::uint32_t priority,
+                const CrashIsolation &isolation) const
     {
         double total = 0;
-        forEachMoreUrgent(service, priority,
+        forEachMoreUrgent(rule, priority, isolation,
                           [&](const Rates &rates) { total += rates.work.rate(now); });
         return total;
     }
@@ -56,11 +58,11 @@
     // deviations of the processors that the more urgent jobs use. Assumes that as much arrives at
     // each other home as at this one.
     UrgentReserve reserve(TimePoint now, const QueueRule &rule, const WorkerRegistry &workers,
-                          double deviations) const
+                          const CrashIsolation &isolation, double deviations) const
     {
         double variance = 0;
         double need = 0;
-        forEachMoreUrgent(rule.service, rule.priority, [&](const Rates &rates) {
+        forEachMoreUrgent(rule, rule.priority, isolation, [&](const Rates &rates) {
             variance += rates.variance.rate(now);
             need = std::max(need, rates.taskNeed);
         });
@@ -91,18 +93,30 @@
     // Weight of one step in the moving average Rates::taskNeed.
     static constexpr double SmoothingFactor = 0.05;
 
-    // Visits the queues of the service that are more urgent than this priority.
+    // Visits the queues that are more urgent than this priority and share workers with this queue.
     template <typename Visitor>
-    void forEachMoreUrgent(const std::string &service, std::uint32_t priority,
-                           const Visitor &visit) const
+    void forEachMoreUrgent(const QueueRule &rule, std::uint32_t priority,
+                           const CrashIsolation &isolation, const Visitor &visit) const
     {
-        const auto end = m_rates.lower_bound({service, priority});
-        for (auto position = m_rates.lower_bound({service, 0}); position != end; ++position)
-            visit(position->second);
+        const auto end = m_rates.lower_bound({rule.service, priority, {}});
+        for (auto position = m_rates.lower_bound({rule.service, 0, {}}); position != end;
+             ++position) {
+            if (isolation.shareWorkers(rule.service, rule.name, position->first.queue))
+                visit(position->second);
+        }
     }
 
-    // Demand of each queue, by its service and priority.
-    std::map<std::pair<std::string, std::uint32_t>, Rates> m_rates;
+    struct DemandKey
+    {
+        std::string service;
+        std::uint32_t priority = 0;
+        std::string queue;
+
+        // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted comparison.
+        friend auto operator<=>(const DemandKey &, const DemandKey &) = default;
+    };
+    // Demand of each queue, by service and priority.
+    std::map<DemandKey, Rates> m_rates;
 };
 
 } // namespace Bluebellquay
--- a/source/core/waitingtasks.h
+++ b/source/core/waitingtasks.h
@@ -4,7 +4,11 @@
 
 #include "core/keyedjob.h"
 
+#include <algorithm>
+#include <cstddef>
+#include <map>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace Bluebellquay {
@@ -26,36 +30,62 @@
     // Tasks with a smaller rank come first. All tasks of a job have the same rank.
     using Queue = std::set<std::pair<JobRank, TaskRef>>;
 
-    void add(const JobRank &rank, const TaskRef &task) { m_queue.emplace(rank, task); }
+    void add(TimePoint now, const KeyedJob &job, const TaskRef &task)
+    {
+        if (m_queue.emplace(job.rank, task).second)
+            ++m_backlogs.try_emplace(job.rule.name, Backlog{0, now}).first->second.tasks;
+    }
     // Returns whether the task waited.
-    bool remove(const JobRank &rank, const TaskRef &task)
+    bool remove(const KeyedJob &job, const TaskRef &task)
     {
-        return m_queue.erase({rank, task}) > 0;
+        const bool waited = m_queue.erase({job.rank, task}) > 0;
+        if (waited)
+            --m_backlogs[job.rule.name].tasks;
+        return waited;
     }
-    void remove(Queue::const_iterator position) { m_queue.erase(position); }
 
     const Queue &queue() const { return m_queue; }
     std::size_t size() const { return m_queue.size(); }
-    // Whether tasks of other jobs wait.
-    bool anyBut(JobKey job) const
-    {
-        return !m_queue.empty()
-            && (m_queue.begin()->second.job != job || m_queue.rbegin()->second.job != job);
-    }
 
-    // Called before tasks are added and after tasks were placed.
+    // Called before the tasks of a job are added and after tasks were placed.
     void noteIfEmpty(TimePoint now)
     {
         if (m_queue.empty())
             m_emptyAt = now;
+        for (auto &[queue, backlog] : m_backlogs) {
+            if (backlog.tasks == 0)
+                backlog.emptyAt = now;
+        }
+    }
+    // Time for which at least one task has been waiting without interruption; if some queues do not
+    // count, at least one task of the same queue.
+    template <typename QueueFilter>
+    Duration backlogAge(TimePoint now, const QueueFilter &counts) const
+    {
+        bool all = true;
+        Duration age{0};
+        for (const auto &[queue, backlog] : m_backlogs) {
+            if (!counts(queue))
+                all = false;
+            else if (backlog.tasks > 0)
+                age = std::max(age, now - backlog.emptyAt);
+        }
+        return all ? now - m_emptyAt : age;
     }
-    // Time for which at least one task has been waiting without interruption.
-    Duration backlogAge(TimePoint now) const { return now - m_emptyAt; }
 
 private:
+    struct Backlog
+    {
+        std::size_t tasks = 0;
+        // Latest time at which none waited.
+        TimePoint emptyAt{};
+    };
+
     Queue m_queue;
     // Latest time at which no task waited.
     TimePoint m_emptyAt{};
+    // By name of the queue.
+    std::map<std::string, Backlog> m_backlogs;
 };
 
 } // namespace Bluebellquay
--- a/tests/dispatch/crashisolationtest.cpp
+++ b/tests/dispatch/crashisolationtest.cpp
@@ -2,6 +2,7 @@
 // down, and what becomes of the jobs of the others.
 #include "core/crashisolation.h"
 #include "core/crashhistory.h"
+#include "core/urgentdemand.h"
 #include "dispatch/keyedsite.h"
 
 #include <catch2/catch.hpp>
@@ -218,6 +219,24 @@
     }
 }
 
+TEST_CASE_METHOD(IsolationFixture, "queues that share no workers are not in each other's load")
+{
+    KeyedJob lookup;
+    lookup.rule.name = "lookups";
+    lookup.rule.service = Service;
+    lookup.estimate.work = 1e9;
+    QueueRule fetches = lookup.rule;
+    fetches.name = "fetches";
+    fetches.priority = 1;
+    UrgentDemand demand;
+    demand.arrived(now, lookup);
+    CHECK(demand.work(now, fetches, 1, isolation) > 0);
+    divide();
+    CHECK(demand.work(now, fetches, 1, isolation) > 0);
+    crashTwiceInGroupOf("lookups");
+    CHECK(demand.work(now, fetches, 1, isolation) == 0);
+}
+
 TEST_CASE("the crashes of many jobs are kept for a while and in bounded memory")
 {
     CrashHistory history;
