Run the jobs of a confined queue alone, and give them half of the workers

What callers saw: of the harmless jobs of a queue some of whose tasks crash workers, hardly any was served while this went on.

Cause: its jobs shared the few workers that were left to them. Each crash took the tasks of all jobs beside it along, and homes went on placing there until they heard of it; those jobs were under suspicion then and waited to the end. With a third of the workers, all of which the first crashes had taken down, the queue had none for seconds, while workers of the others had room.

Change: while workers go on crashing, a job of a confined queue starts only on workers on which no other job runs, on as few as it can. An order carries what must stay free for that, which agents of any version check, so two homes do not share a worker. The group is widened to half of the workers when its queue is confined; other queues take room there last, and on as few workers as they can.

Tests: "a job that runs alone gets workers without other jobs, and few of them" did not compile before. "tasks of one queue that crash their workers leave half of them to the other queues" replaces a check that eight of twelve workers stay up, the share that the former design gave the group.

--- a/source/core/crashisolation.cpp
+++ b/source/core/crashisolation.cpp
@@ -107,6 +107,7 @@
 void CrashIsolation::confine(Division &division, const std::string &name, std::size_t group)
 {
     division.confined = group;
+    widen(division.agents, group);
     std::string queues;
     for (const auto &[queue, queueGroup] : division.queues)
         queues += queueGroup == group ? (queues.empty() ? "" : ",") + queue : "";
@@ -118,6 +119,21 @@
     division.toldUntil = TimePoint();
 }
 
+void CrashIsolation::widen(Groups &agents, std::size_t group)
+{
+    const auto isIn = [group](const auto &item) { return item.second == group; };
+    auto size = static_cast<std::size_t>(std::count_if(agents.begin(), agents.end(), isIn));
+    std::vector<std::string> names;
+    for (const auto &[name, other] : agents)
+        names.push_back(name);
+    for (const std::string &name : inHashOrder(names)) {
+        if (size >= agents.size() / 2)
+            return;
+        size += agents[name] == group ? 0 : 1;
+        agents[name] = group;
+    }
+}
+
 void CrashIsolation::tell(TimePoint now, Service &service)
 {
     Division &division = *service.division;
@@ -256,6 +272,12 @@
         || otherGroup == division->queues.end() || group->second == otherGroup->second;
 }
 
+bool CrashIsolation::mustRunAlone(const std::string &service, const std::string &queue) const
+{
+    const Division *division = divisionOf(service);
+    return division != nullptr && division->apart && confined(service, queue);
+}
+
 bool CrashIsolation::mustWait(TimePoint now, const std::string &service,
                               const std::string &queue) const
 {
--- a/source/core/crashisolation.h
+++ b/source/core/crashisolation.h
@@ -101,6 +101,9 @@
     // Whether tasks of the two queues may take room that the other one waits for.
     bool shareWorkers(const std::string &service, const std::string &queue,
                       const std::string &other) const;
+    // Whether each job of the queue needs workers of its own, so that a crash tells which job is at
+    // fault and takes no other one with it.
+    bool mustRunAlone(const std::string &service, const std::string &queue) const;
     // Whether a task of the queue under which a worker has crashed is to wait.
     bool mustWait(TimePoint now, const std::string &service, const std::string &queue) const;
 
@@ -142,6 +145,8 @@
     void settleLatest(TimePoint now, Service &service, const std::string &name);
     // Confines the queues of the group.
     static void confine(Division &division, const std::string &name, std::size_t group);
+    // Moves agents of other groups to this one until it has half of them.
+    static void widen(Groups &agents, std::size_t group);
     // Has other homes told if what they know of the division ends too early.
     void tell(TimePoint now, Service &service);
     // Whether all groups are among those that the confinement counts.
--- a/source/core/keyedjob.cpp
+++ b/source/core/keyedjob.cpp
@@ -66,6 +66,18 @@
     return full;
 }
 
+std::uint64_t milliProcessorsAt(const KeyedJob &job, Incarnation agent)
+{
+    std::uint64_t total = 0;
+    for (std::size_t step = 0; step < job.tasks.size(); ++step) {
+        for (const KeyedTask &task : job.tasks[step]) {
+            if (task.phase == TaskPhase::Ordered && task.agent == agent)
+                total += job.spec.steps[step].need.milliProcessors;
+        }
+    }
+    return total;
+}
+
 std::map<Incarnation, StopRuns> runsToStop(const KeyedJob &job)
 {
     std::map<Incarnation, StopRuns> stops;
--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -165,6 +165,9 @@
 // Agents that already have KeyedStep::maxPerWorker tasks of the step.
 std::vector<Incarnation> agentsAtLimit(const KeyedJob &job, std::uint32_t step);
 
+// Processors, in thousandths, of the job's tasks that were ordered from this agent.
+std::uint64_t milliProcessorsAt(const KeyedJob &job, Incarnation agent);
+
 // Stop messages for all ordered runs of the job, by agent.
 std::map<Incarnation, StopRuns> runsToStop(const KeyedJob &job);
 
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -155,7 +155,8 @@
         const std::vector<Incarnation> excluded = agentsAtLimit(job, ref.step);
         const UrgentReserve reserve =
             m_demand.reserve(now, job.rule, m_workers, m_isolation, m_settings.reservedDeviations);
-        const PlacementRequest request{job.rule.service,
+        const bool exclusive = m_isolation.mustRunAlone(job.rule.service, job.rule.name);
+        const PlacementRequest request{job,
                                        step,
                                        job.estimate.runTimes[ref.step],
                                        m_settings.remoteDataFactor,
@@ -164,11 +165,11 @@
                                        reserve,
                                        task.avoidedAgent,
                                        m_isolation,
-                                       job.rule.name,
+                                       exclusive,
                                        ++m_jitterSeed};
         const std::optional<Placement> placement = m_settings.choice.choose(m_workers, request);
         if (!placement) {
-            if (step.runsOnAnyWorker())
+            if (step.runsOnAnyWorker() && !exclusive)
                 unplaced.add(job.rule.service, step.need);
             unplaced.count();
             continue;
--- a/source/core/workerchoice.h
+++ b/source/core/workerchoice.h
@@ -21,7 +21,7 @@
 // A task to be placed, with the conditions of its placement.
 struct PlacementRequest
 {
-    const std::string &service;
+    const KeyedJob &job;
     const KeyedStep &step;
     // Expected run time on a worker of ordinary speed in the rack of the data.
     Duration expected{0};
@@ -36,8 +36,8 @@
     // Agent that returned or lost this task before; chosen only if no other worker fits.
     Incarnation avoidedAgent;
     const CrashIsolation &isolation;
-    // Queue of the job.
-    const std::string &queue;
+    // Whether no task of another job may run on the worker when the task starts.
+    bool exclusive = false;
     // Differs between tasks and between homes.
     std::uint64_t jitterSeed = 0;
 };
@@ -87,15 +87,16 @@
         double bestCost = std::numeric_limits<double>::max();
         for (const auto &[incarnation, record] : workers.records()) {
             const WorkerAccess access = accessTo(record, request);
-            if (!record.usable(request.service) || access == WorkerAccess::Forbidden
+            if (!record.usable(request.job.rule.service) || access == WorkerAccess::Forbidden
                 || !mayRun(record, request))
                 continue;
-            const std::uint32_t kept = keepFree(record, request);
+            const std::uint32_t kept =
+                request.exclusive ? keepOthersOut(record, request) : keepFree(record, request);
             ResourceNeed room = request.step.need;
             room.milliProcessors += kept;
             if (!record.fits(room))
                 continue;
-            double cost = costOn(record, request);
+            double cost = costOn(record, request, access);
             if (access == WorkerAccess::Avoided)
                 cost += AvoidedWorkerCost;
             else if (access == WorkerAccess::LastResort)
@@ -117,7 +118,8 @@
 
     static WorkerAccess accessTo(const WorkerRecord &record, const PlacementRequest &request)
     {
-        return request.isolation.access(request.service, request.queue, record.agent.name);
+        const QueueRule &rule = request.job.rule;
+        return request.isolation.access(rule.service, rule.name, record.agent.name);
     }
 
     static bool mayRun(const WorkerRecord &record, const PlacementRequest &request)
@@ -146,6 +148,16 @@
         return std::min(static_cast<std::uint32_t>(wanted), total > need ? total - need : 0);
     }
 
+    // Processors that are free beside the task if only tasks of its job are on the worker. The
+    // agent checks it when the order arrives, so that two homes do not share the worker.
+    static std::uint32_t keepOthersOut(const WorkerRecord &record, const PlacementRequest &request)
+    {
+        const std::uint64_t own = milliProcessorsAt(request.job, record.agent.incarnation)
+            + request.step.need.milliProcessors;
+        const std::uint32_t total = record.room->total.milliProcessors;
+        return total > own ? static_cast<std::uint32_t>(total - own) : 0;
+    }
+
     static bool isDataRemote(const WorkerRecord &record, const PlacementRequest &request)
     {
         const std::string &rack = request.step.dataRack;
@@ -163,11 +175,16 @@
         return std::max<double>(1, record.room->total.milliProcessors);
     }
 
-    double costOn(const WorkerRecord &record, const PlacementRequest &request) const
+    double costOn(const WorkerRecord &record, const PlacementRequest &request,
+                  WorkerAccess access) const
     {
         const double free = static_cast<double>(record.freeMilliProcessors()) / processors(record);
         const double jitter = costJitter * uniform(request.jitterSeed, record.agent.incarnation);
-        return expectedTime(record, request) * (1 + loadPenalty * (1 - free) + jitter)
+        // Jobs that run alone, and tasks on workers of last resort, take as few workers as they
+        // can.
+        const bool few = request.exclusive || access == WorkerAccess::LastResort;
+        const double avoided = few ? free : 1 - free;
+        return expectedTime(record, request) * (1 + loadPenalty * avoided + jitter)
             + surcharge(record, request);
     }
 
