--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -213,7 +213,7 @@
         job.firstOrderAt = now;
     ++job.openRuns;
     ++m_statistics.orders;
-    m_runsByAgent[agent].insert(RunKey{ref.job, ref.step, ref.index, task.run});
+    m_runsAtAgents.add(agent, RunKey{ref.job, ref.step, ref.index, task.run});
 
     StartRuns &message = batches[{agent, ref.job, ref.step}];
     if (message.orders.empty()) {
@@ -317,11 +317,7 @@
 void RunDispatcher::agentUp(TimePoint now, const ProcessInfo &agent, DispatchOutbox &out)
 {
     m_workers.linkUp(agent);
-    const auto runs = m_runsByAgent.find(agent.incarnation);
-    RunsAtAgent question;
-    if (runs != m_runsByAgent.end())
-        question.runs.assign(runs->second.begin(), runs->second.end());
-    out.messages.emplace_back(agent.incarnation, std::move(question));
+    out.messages.emplace_back(agent.incarnation, RunsAtAgent{m_runsAtAgents.at(agent.incarnation)});
     dispatch(now, out);
 }
 
@@ -383,10 +379,7 @@
 
 void RunDispatcher::markRuns(Incarnation agent, bool workerCrashed)
 {
-    const auto runs = m_runsByAgent.find(agent);
-    if (runs == m_runsByAgent.end())
-        return;
-    for (const RunKey &run : runs->second) {
+    for (const RunKey &run : m_runsAtAgents.at(agent)) {
         if (KeyedTask *task = findTask(run, agent))
             task->workerCrashed = workerCrashed;
     }
@@ -409,7 +402,7 @@
 void RunDispatcher::runEnded(TimePoint now, const EndedRun &ended, Incarnation agent,
                              DispatchOutbox &out)
 {
-    if (m_runsByAgent[agent].erase(ended.run) == 0)
+    if (!m_runsAtAgents.remove(agent, ended.run))
         return;
     KeyedTask *task = findTask(ended.run, agent);
     if (task == nullptr)
@@ -419,50 +412,48 @@
     --job.openRuns;
     if (ended.end != RunResult::Done && !job.released)
         logRunEnded(job, ended, m_workers.nameOf(agent));
+    m_statistics.count(ended.end);
+    if (ended.end != RunResult::Done)
+        task->avoidedAgent = agent;
     switch (ended.end) {
-    case RunResult::Done: {
-        ++m_statistics.runsDone;
+    case RunResult::Done:
         task->phase = TaskPhase::Done;
         --job.tasksLeft;
         m_forecast.record(job, ref.step, localDataRunTime(*task, ended.runTime));
         break;
-    }
     case RunResult::Failed:
-        ++m_statistics.runsFailed;
         ++task->failures;
-        task->avoidedAgent = agent;
-        retryTask(now, job, ref, Duration(0));
-        break;
+        [[fallthrough]];
     case RunResult::Stopped:
-        ++m_statistics.runsStopped;
-        task->avoidedAgent = agent;
         retryTask(now, job, ref, Duration(0));
         break;
     case RunResult::Lost:
-        ++m_statistics.runsLost;
-        task->avoidedAgent = agent;
         if (task->workerCrashed)
             task->crashes = m_crashes.record(now, ended.run);
         retryTask(now, job, ref, delayAfterCrash(now, job, *task));
         break;
     case RunResult::NotStarted:
-        ++m_statistics.ordersReturned;
-        task->avoidedAgent = agent;
         retryTask(now, job, ref, ReturnedOrderRetryDelay);
         ++task->returnedOrders;
         break;
     }
-    if (!job.released && task->failures >= job.rule.maxAttempts) {
-        finish(now, job, endedWith(Outcome::Failed, Reason::TaskFailed), out);
-    } else if (!job.released && m_crashes.givenUp(ref.job)) {
+    if (!job.released)
+        continueJob(now, job, *task, out);
+    removeIfDrained(now, ref.job, out);
+}
+
+void RunDispatcher::continueJob(TimePoint now, KeyedJob &job, const KeyedTask &ended,
+                                DispatchOutbox &out)
+{
+    if (ended.failures >= job.rule.maxAttempts)
+        return finish(now, job, endedWith(Outcome::Failed, Reason::TaskFailed), out);
+    if (m_crashes.givenUp(job.spec.key)) {
         ++m_statistics.jobsCrashing;
-        finish(now, job, endedWith(Outcome::Failed, Reason::FailsEverywhere), out);
-    } else if (!job.released && job.tasksLeft == 0) {
-        finish(now, job, endedWith(Outcome::Completed, Reason::None), out);
-    } else if (!job.released) {
-        makeReadySteps(now, job);
+        return finish(now, job, endedWith(Outcome::Failed, Reason::FailsEverywhere), out);
     }
-    removeIfDrained(now, ref.job, out);
+    if (job.tasksLeft == 0)
+        return finish(now, job, endedWith(Outcome::Completed, Reason::None), out);
+    makeReadySteps(now, job);
 }
 
 Duration RunDispatcher::delayAfterCrash(TimePoint now, const KeyedJob &job,
@@ -492,20 +483,7 @@
 void RunDispatcher::finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out)
 {
     logJobEnded(job, answer, now, m_waiting.size(), m_workers.records().size());
-    switch (answer.outcome) {
-    case Outcome::Completed:
-        ++m_statistics.jobsCompleted;
-        break;
-    case Outcome::Failed:
-        ++m_statistics.jobsFailed;
-        break;
-    case Outcome::NotRun:
-        ++m_statistics.jobsRefused;
-        break;
-    case Outcome::Unknown:
-        ++m_statistics.jobsExpired;
-        break;
-    }
+    m_statistics.count(answer.outcome);
     for (const CallId call : job.calls) {
         m_calls.erase(call);
         out.answers.push_back({call, answer});
@@ -589,13 +567,8 @@
 void RunDispatcher::expireAgent(TimePoint now, Incarnation agent, DispatchOutbox &out)
 {
     m_workers.remove(agent);
-    const auto runs = m_runsByAgent.find(agent);
-    if (runs == m_runsByAgent.end())
-        return;
-    const std::set<RunKey> lost = runs->second;
-    for (const RunKey &run : lost)
+    for (const RunKey &run : m_runsAtAgents.at(agent))
         runEnded(now, EndedRun{run, RunResult::Lost, Duration(0)}, agent, out);
-    m_runsByAgent.erase(agent);
 }
 
 void RunDispatcher::markLate(TimePoint now, KeyedJob &job, DispatchOutbox &out)
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -14,6 +14,7 @@
 #include "core/jobrefusal.h"
 #include "core/keyedjob.h"
 #include "core/queueloads.h"
+#include "core/runsatagents.h"
 #include "core/timerheap.h"
 #include "core/urgentdemand.h"
 #include "core/waitingtasks.h"
@@ -95,6 +96,22 @@
     std::uint64_t jobsCrashing = 0;
     // Jobs refused because no worker was left to which their queue is confined.
     std::uint64_t jobsIsolated = 0;
+
+    void count(Outcome outcome)
+    {
+        jobsCompleted += outcome == Outcome::Completed ? 1 : 0;
+        jobsFailed += outcome == Outcome::Failed ? 1 : 0;
+        jobsRefused += outcome == Outcome::NotRun ? 1 : 0;
+        jobsExpired += outcome == Outcome::Unknown ? 1 : 0;
+    }
+    void count(RunResult end)
+    {
+        runsDone += end == RunResult::Done ? 1 : 0;
+        runsFailed += end == RunResult::Failed ? 1 : 0;
+        runsStopped += end == RunResult::Stopped ? 1 : 0;
+        runsLost += end == RunResult::Lost ? 1 : 0;
+        ordersReturned += end == RunResult::NotStarted ? 1 : 0;
+    }
 };
 
 class RunDispatcher
@@ -191,6 +208,8 @@
     void markRuns(Incarnation agent, bool workerCrashed);
     // Refuses the jobs that have not started and for which no worker is left.
     void refuseHopelessJobs(TimePoint now, DispatchOutbox &out);
+    // Ends the job if its tasks are done or one must not be started again; else goes on with it.
+    void continueJob(TimePoint now, KeyedJob &job, const KeyedTask &ended, DispatchOutbox &out);
     // Delay before a task is tried again, or looked at again, because a worker crashed under it.
     Duration delayAfterCrash(TimePoint now, const KeyedJob &job, const KeyedTask &task) const;
     // Queues the task again after this delay.
@@ -232,8 +251,7 @@
     // Seed of the jitter of the latest placement; increases by one with each placement.
     std::uint64_t m_jitterSeed = 0;
     WaitingTasks m_waiting;
-    // Runs that may still be at an agent.
-    std::map<Incarnation, std::set<RunKey>> m_runsByAgent;
+    RunsAtAgents m_runsAtAgents;
     TimerHeap<Timer> m_timers;
     // Time at which the process exits, if known.
     std::optional<TimePoint> m_stopTime;
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -17,25 +17,6 @@
 // Number of waiting orders that do not fit before the search for one that fits ends.
 constexpr int LookAhead = 8;
 
-template <typename Number>
-Number without(Number whole, Number part)
-{
-    return whole > part ? whole - part : 0;
-}
-
-ResourceNeed difference(const ResourceNeed &whole, const ResourceNeed &part)
-{
-    return {without(whole.milliProcessors, part.milliProcessors),
-            without(whole.memoryBytes, part.memoryBytes),
-            without(whole.accelerators, part.accelerators)};
-}
-
-bool within(const ResourceNeed &need, const ResourceNeed &room)
-{
-    return need.milliProcessors <= room.milliProcessors && need.memoryBytes <= room.memoryBytes
-        && need.accelerators <= room.accelerators;
-}
-
 } // namespace
 
 RunTracker::RunTracker(RunTrackerSettings settings)
@@ -209,8 +190,8 @@
     for (const RunOrder &order : message.orders) {
         m_reports.orderReceived(home, order.order);
         const RunKey key{message.job, message.step, order.index, order.run};
-        if (const auto kept = m_retainedEnds.find(key); kept != m_retainedEnds.end()) {
-            out.messages.emplace_back(home, RunsEnded{{kept->second.end}});
+        if (const EndedRun *kept = m_retainedEnds.find(key)) {
+            out.messages.emplace_back(home, RunsEnded{{*kept}});
             continue;
         }
         if (m_runs.contains(key))
@@ -274,11 +255,10 @@
     for (const RunKey &key : message.runs) {
         if (m_runs.contains(key))
             continue;
-        const auto kept = m_retainedEnds.find(key);
+        const EndedRun *kept = m_retainedEnds.find(key);
         // The order was lost with the previous link, so it can't arrive any more.
-        ended.runs.push_back(kept != m_retainedEnds.end()
-                                 ? kept->second.end
-                                 : EndedRun{key, RunResult::NotStarted, Duration(0)});
+        ended.runs.push_back(kept != nullptr ? *kept
+                                             : EndedRun{key, RunResult::NotStarted, Duration(0)});
     }
     if (!ended.runs.empty())
         out.messages.emplace_back(home, std::move(ended));
@@ -335,7 +315,7 @@
             check = true;
             break;
         case TimerKind::ForgetEnd:
-            m_retainedEnds.erase(timer->run);
+            m_retainedEnds.forget(timer->run);
             break;
         case TimerKind::RepeatStart:
             repeatStart(now, timer->run, out);
@@ -371,31 +351,12 @@
 {
     if (!m_worker)
         return {};
-    ResourceNeed free = difference(m_worker->room, m_held);
+    ResourceNeed free = m_held.freeOf(m_worker->room);
     free.milliProcessors = static_cast<std::uint32_t>(
         without<std::uint64_t>(free.milliProcessors, m_waitingMilliProcessors));
     return free;
 }
 
-bool RunTracker::fits(const Run &run) const
-{
-    ResourceNeed room = run.need;
-    room.milliProcessors += run.keepFree;
-    return within(room, difference(m_worker->room, m_held));
-}
-
-void RunTracker::hold(const ResourceNeed &need)
-{
-    m_held.milliProcessors += need.milliProcessors;
-    m_held.memoryBytes += need.memoryBytes;
-    m_held.accelerators += need.accelerators;
-}
-
-void RunTracker::release(const ResourceNeed &need)
-{
-    m_held = difference(m_held, need);
-}
-
 void RunTracker::startWaiting(TimePoint now, RunOutbox &out)
 {
     if (!accepting(now))
@@ -403,7 +364,7 @@
     int looked = 0;
     for (auto position = m_waiting.begin(); position != m_waiting.end() && looked < LookAhead;) {
         const auto run = m_runs.find((position++)->second);
-        if (!fits(run->second)) {
+        if (!m_held.fits(run->second.need, run->second.keepFree, m_worker->room)) {
             ++looked;
             continue;
         }
@@ -420,7 +381,7 @@
     Run &run = position->second;
     m_waiting.erase({run.rank, position->first});
     m_waitingMilliProcessors -= run.need.milliProcessors;
-    hold(run.need);
+    m_held.hold(run.need);
     run.state = RunState::Ordered;
     run.started = now;
     ++m_statistics.started;
@@ -483,7 +444,7 @@
         --m_foreignRuns;
         return;
     } else {
-        release(run.need);
+        m_held.release(run.need);
         ended.runTime = std::max(now - run.started, Duration(0));
         const bool suspendedBefore = m_watch.onProbation();
         m_watch.ended(now, key.job, how, ended.runTime, run.expected);
@@ -499,7 +460,7 @@
             LogEvent(LogLevel::Info, "worker_resumed").field("worker", workerName());
         m_statistics.count(how);
     }
-    m_retainedEnds[key] = RetainedEnd{ended, now};
+    m_retainedEnds.keep(now, ended);
     m_timers.schedule(now + m_settings.endRetention, Timer{TimerKind::ForgetEnd, key});
     out.messages.emplace_back(run.home, RunsEnded{{ended}});
 }
@@ -596,8 +557,7 @@
 void RunTracker::adoptForeignRun(TimePoint now, const RunKey &key, TimePoint askedAt,
                                  RunOutbox &out)
 {
-    const auto kept = m_retainedEnds.find(key);
-    if (kept != m_retainedEnds.end() && askedAt <= kept->second.at)
+    if (m_retainedEnds.endedSince(key, askedAt))
         return;
     Run run;
     run.started = now;
@@ -629,7 +589,7 @@
     room.total = m_worker->room;
     room.free = freeRoom();
     room.probation = m_watch.onProbation();
-    const std::uint64_t held = m_held.milliProcessors;
+    const std::uint64_t held = m_held.milliProcessors();
     const std::uint64_t wanted = held + m_waitingMilliProcessors;
     room.overcommittedMilliProcessors =
         static_cast<std::uint32_t>(without<std::uint64_t>(wanted, room.total.milliProcessors));
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -12,6 +12,8 @@
 
 #include "base/messages.h"
 #include "core/capacityreporter.h"
+#include "core/heldcapacity.h"
+#include "core/retainedends.h"
 #include "core/startattempts.h"
 #include "core/timerheap.h"
 #include "core/workercalls.h"
@@ -174,12 +176,6 @@
         // Kept until the worker has confirmed the run, so that the start can be repeated.
         std::string payload;
     };
-    struct RetainedEnd
-    {
-        EndedRun end;
-        // When the run ended. Listings that were requested earlier may still contain it.
-        TimePoint at;
-    };
     enum class TimerKind : std::uint8_t { Check, RepeatStart, RepeatStop, ForgetEnd };
     struct Timer
     {
@@ -188,9 +184,6 @@
     };
     using Runs = std::map<RunKey, Run>;
 
-    bool fits(const Run &run) const;
-    void hold(const ResourceNeed &need);
-    void release(const ResourceNeed &need);
     void startWaiting(TimePoint now, RunOutbox &out);
     void start(TimePoint now, Runs::iterator position, RunOutbox &out);
     void sendStart(TimePoint now, const RunKey &key, Run &run, RunOutbox &out);
@@ -245,13 +238,13 @@
     Runs m_runs;
     // Waiting runs in the order in which they should start; each is in m_runs.
     std::set<std::pair<WaitingRank, RunKey>> m_waiting;
-    // Sum of the needs of all runs that are not waiting.
-    ResourceNeed m_held;
+    // By all runs that are not waiting.
+    HeldCapacity m_held;
     // Sum of the processors of all waiting runs.
     std::uint64_t m_waitingMilliProcessors = 0;
     // Runs of previous incarnations of this agent, whose need is unknown.
     std::uint32_t m_foreignRuns = 0;
-    std::map<RunKey, RetainedEnd> m_retainedEnds;
+    RetainedEnds m_retainedEnds;
     CapacityReporter m_reports;
     TimerHeap<Timer> m_timers;
 };
