Test that nothing is started over a capacity that has shrunk

The code kept it already: runs hold what they were given until their end is listed, and free capacity is what they leave of the latest announcement.

--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -135,6 +135,33 @@
     CHECK(room->lastOrder == OrderNumber(lastOrder));
 }
 
+TEST_CASE_METHOD(LedgerFixture,
+                 "nothing is started over a room that has shrunk until runs have ended")
+{
+    order(0, 30'000);
+    order(1, 20'000);
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    ledger.startAnswered(now, key(1), StartAnswer::Accepted, out);
+    profile.room.milliProcessors = 40'000;
+    ledger.workerAnnounced(now, profile, out);
+    CHECK(ledger.freeRoom().milliProcessors == 0);
+    // A run that is being stopped still counts.
+    ledger.handle(now, Home, StopRuns{{key(0)}}, out);
+    clear();
+    order(2, 15'000, 1, false);
+    CHECK(out.starts.empty());
+    account({key(1)}, {{key(0), RunResult::Stopped}});
+    clear();
+    order(3, 25'000, 1, false);
+    CHECK(out.starts.empty());
+    order(4, 20'000, 1, false);
+    CHECK(out.starts.size() == 1);
+    profile.room.milliProcessors = 64'000;
+    ledger.workerAnnounced(now, profile, out);
+    order(5, 24'000, 1, false);
+    CHECK(out.starts.size() == 2);
+}
+
 TEST_CASE_METHOD(LedgerFixture, "an account that was overtaken by a newer one ends no run")
 {
     order(0, 40'000);
