--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -146,18 +146,18 @@
 
 void HttpClient::Connection::connect()
 {
-    m_socket.async_connect(
-        m_state->server,
-        [self = shared_from_this(),
-         generation = m_generation](const boost::system::error_code &error) {
-            if (generation != self->m_generation || !self->m_callback)
-                return;
-            if (error)
-                return self->finish(notSent(error == asio::error::connection_refused), false);
-            self->m_connected = true;
-            detectSilence(self->m_socket);
-            self->send();
-        });
+    m_socket.async_connect(m_state->server,
+                           [self = shared_from_this(),
+                            generation = m_generation](const boost::system::error_code &error) {
+                               if (generation != self->m_generation || !self->m_callback)
+                                   return;
+                               if (error)
+                                   return self->finish(
+                                       notSent(error == asio::error::connection_refused), false);
+                               self->m_connected = true;
+                               detectSilence(self->m_socket);
+                               self->send();
+                           });
 }
 
 void HttpClient::Connection::send()
@@ -178,21 +178,20 @@
 {
     m_parser.emplace();
     m_parser->body_limit(MaxReplyBytes);
-    http::async_read(
-        m_socket, m_buffer, *m_parser,
-        [self = shared_from_this(),
-         generation = m_generation](const boost::system::error_code &error, std::size_t) {
-            if (generation != self->m_generation || !self->m_callback)
-                return;
-            if (error)
-                return self->finish(noAnswer(true), false);
-            http::response<http::string_body> message = self->m_parser->release();
-            HttpReply reply;
-            reply.end = HttpCallEnd::Answered;
-            reply.status = message.result_int();
-            reply.body = std::move(message.body());
-            self->finish(std::move(reply), message.keep_alive());
-        });
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self = shared_from_this(), generation = m_generation](
+                         const boost::system::error_code &error, std::size_t) {
+                         if (generation != self->m_generation || !self->m_callback)
+                             return;
+                         if (error)
+                             return self->finish(noAnswer(true), false);
+                         http::response<http::string_body> message = self->m_parser->release();
+                         HttpReply reply;
+                         reply.end = HttpCallEnd::Answered;
+                         reply.status = message.result_int();
+                         reply.body = std::move(message.body());
+                         self->finish(std::move(reply), message.keep_alive());
+                     });
 }
 
 void HttpClient::Connection::finish(HttpReply reply, bool reusable)
--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -84,8 +84,7 @@
         WorkerClient client(context, timers, PlatformBounds(), SeenToken,
                             {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
                              [&](const RunListing &) { answered = true; }, [] { return true; },
-                             [&] { ++seen.leasesExpired; }, [&] { seen.refused = true; },
-                             [] {}});
+                             [&] { ++seen.leasesExpired; }, [&] { seen.refused = true; }, [] {}});
         client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
         TimePoint end = timers.now() + span;
         for (bool done = false; timers.now() < end;) {
