--- a/source/core/crashisolation.cpp
+++ b/source/core/crashisolation.cpp
@@ -30,10 +30,12 @@
 std::vector<std::string> inHashOrder(const std::vector<std::string> &names)
 {
     std::vector<std::pair<std::uint64_t, std::string>> hashed;
+    hashed.reserve(names.size());
     for (const std::string &name : names)
         hashed.emplace_back(hashOf(name), name);
     std::sort(hashed.begin(), hashed.end());
     std::vector<std::string> ordered;
+    ordered.reserve(hashed.size());
     for (auto &[hash, name] : hashed)
         ordered.push_back(std::move(name));
     return ordered;
@@ -124,6 +126,7 @@
     const auto isIn = [group](const auto &item) { return item.second == group; };
     auto size = static_cast<std::size_t>(std::count_if(agents.begin(), agents.end(), isIn));
     std::vector<std::string> names;
+    names.reserve(agents.size());
     for (const auto &[name, other] : agents)
         names.push_back(name);
     for (const std::string &name : inHashOrder(names)) {
