--- a/source/core/crashisolation.cpp
+++ b/source/core/crashisolation.cpp
@@ -130,7 +130,7 @@
     for (const auto &[name, other] : agents)
         names.push_back(name);
     for (const std::string &name : inHashOrder(names)) {
-        if (size >= agents.size() / 2)
+        if (size >= agents.size() / ConfinedPart)
             return;
         size += agents[name] == group ? 0 : 1;
         agents[name] = group;
--- a/source/core/crashisolation.h
+++ b/source/core/crashisolation.h
@@ -4,10 +4,11 @@
 //
 // After a crash the workers of the service are divided into groups for a while, and each queue
 // prefers the workers of one group, or stays there if workers go on crashing. The group in which
-// they do shows which queue is at fault. That queue is then confined to its group, which the others
-// avoid, until no worker has crashed for a while. The others stay apart meanwhile, so that a wrong
-// finding shows. Workers that crash at the same time in several groups have lost power or a
-// network, and say nothing of the queues.
+// they do shows which queue is at fault. That queue is then confined to its group, which is widened
+// to half of the workers and which the others avoid, until no worker has crashed for a while. As
+// long as workers go on crashing, its jobs run alone on theirs. The others stay apart meanwhile, so
+// that a wrong finding shows. Workers that crash at the same time in several groups have lost power
+// or a network, and say nothing of the queues.
 //
 // All homes see the crashes of all workers that they share, and divide queues and workers by name,
 // so they mostly come to the same division without messages. Homes tell each other what they have
@@ -53,9 +54,11 @@
 class CrashIsolation
 {
 public:
-    // Groups into which the workers of a service are divided: a queue at fault takes down this
-    // share of them at most.
+    // Groups into which the workers of a service are divided. More tell queues apart better, and
+    // leave each of them less room until the one at fault is found.
     static constexpr std::size_t MaxGroups = 3;
+    // One worker in this many is in the group of a confined queue, which takes down no others.
+    static constexpr std::size_t ConfinedPart = 2;
     // A group's queues are at fault after this many crashes in the group since the workers were
     // divided, or since another group was found at fault, if there were at most half as many in
     // each other one.
@@ -145,7 +148,7 @@
     void settleLatest(TimePoint now, Service &service, const std::string &name);
     // Confines the queues of the group.
     static void confine(Division &division, const std::string &name, std::size_t group);
-    // Moves agents of other groups to this one until it has half of them.
+    // Moves agents of other groups to this one until it has its part of them.
     static void widen(Groups &agents, std::size_t group);
     // Has other homes told if what they know of the division ends too early.
     void tell(TimePoint now, Service &service);
