--- a/source/core/waitingtasks.h
+++ b/source/core/waitingtasks.h
@@ -84,7 +84,7 @@
     Queue m_queue;
     // Latest time at which no task waited.
     TimePoint m_emptyAt{};
-    // By name of the queue.
+    // Backlog of each queue that has had a waiting task, by the name of the queue.
     std::map<std::string, Backlog> m_backlogs;
 };
 
