Log and count why the plain HTTP server ends a connection

The server closed connections silently in six ways.

No decision changes. request_dropped is now connection_ended with reason=client_gone_before_handling.

--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -28,6 +28,7 @@
 // Delay after an accept that failed, for example because no file descriptor is left.
 constexpr Duration AcceptRetryDelay{50'000};
 constexpr int ListenBacklog = 1024;
+constexpr const char *RequestIdHeader = "Request-Id";
 
 } // namespace
 
@@ -68,6 +69,7 @@
     bool closing = false;
     std::size_t openExchanges = 0;
     std::size_t writing = 0;
+    ConnectionEndCounts ends;
 
 private:
     void startSweeping();
@@ -96,6 +98,7 @@
     }
     ~Session() override
     {
+        recordEnd(ConnectionEnd::SessionDropped);
         settle();
         m_listener->remove(this);
     }
@@ -104,10 +107,10 @@
     void respond(HttpResponse response) override;
     void onClosed(std::function<void()> callback) override { m_closed = std::move(callback); }
     void sweep(TimePoint now);
-    void close();
+    void close(ConnectionEnd end);
 
 private:
-    enum class Phase { Idle, Reading, Handling, Writing, Closed };
+    enum class Phase { Idle, Handling, Writing, Closed };
 
     void requestRead(const boost::system::error_code &error);
     // Whether the client has closed its side or reset the connection by now.
@@ -115,6 +118,10 @@
     void watchForClose();
     // The request in progress, if any, is over.
     void settle();
+    // Counts the end of the connection, and logs it if a request had begun. The first one counts.
+    void recordEnd(ConnectionEnd end);
+    bool requestBegun() const;
+    std::string_view phaseName() const;
 
     std::shared_ptr<Listener> m_listener;
     Tcp::socket m_socket;
@@ -128,6 +135,11 @@
     bool m_keepAlive = true;
     bool m_exchangeOpen = false;
     bool m_watching = false;
+    bool m_endRecorded = false;
+    // Responses sent on this connection.
+    std::uint64_t m_responses = 0;
+    // The caller's name for the request in progress, for the logs.
+    std::string m_requestId;
 };
 
 boost::leaf::result<void> HttpServer::Listener::open()
@@ -199,7 +211,7 @@
     const std::vector<Session *> sessions(m_sessions.begin(), m_sessions.end());
     for (Session *session : sessions) {
         if (m_sessions.contains(session))
-            session->close();
+            session->close(ConnectionEnd::ServerClosed);
     }
 }
 
@@ -207,6 +219,7 @@
 {
     m_phase = Phase::Idle;
     m_since = m_listener->now();
+    m_requestId.clear();
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_listener->settings().maxHeaderBytes));
     m_parser->body_limit(m_listener->settings().maxBodyBytes);
@@ -222,11 +235,13 @@
     if (error) {
         const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit
             || error == http::error::buffer_overflow;
+        const ConnectionEnd end =
+            requestBegun() ? ConnectionEnd::RequestCutShort : ConnectionEnd::ClientClosed;
         if (!tooLarge && m_parser->is_header_done() == false && m_buffer.size() == 0)
-            return close();
+            return close(end);
         if (error == http::error::end_of_stream
             || error.category() == asio::error::get_system_category())
-            return close();
+            return close(end);
         m_keepAlive = false;
         m_exchangeOpen = true;
         ++m_listener->openExchanges;
@@ -234,10 +249,9 @@
     }
     // A process that was paused or busy finds requests whose callers gave up on it long ago and
     // have gone elsewhere with them.
-    if (clientGone()) {
-        LogEvent(LogLevel::Info, "request_dropped").field("reason", "client_gone");
-        return close();
-    }
+    m_requestId = std::string(m_parser->get()[RequestIdHeader]);
+    if (clientGone())
+        return close(ConnectionEnd::ClientGoneBeforeHandling);
     http::request<http::string_body> message = m_parser->release();
     m_keepAlive = message.keep_alive();
     HttpRequest request;
@@ -277,7 +291,7 @@
                             boost::system::error_code failed;
                             // Readable without data: the client has closed its side.
                             if (self->m_socket.available(failed) == 0 || failed)
-                                self->close();
+                                self->close(ConnectionEnd::ClientGoneWhileHandling);
                         });
 }
 
@@ -310,8 +324,11 @@
                           --self->m_listener->writing;
                           if (self->m_phase == Phase::Closed)
                               return;
-                          if (error || !keepAlive)
-                              return self->close();
+                          if (error)
+                              return self->close(ConnectionEnd::WriteFailed);
+                          ++self->m_responses;
+                          if (!keepAlive)
+                              return self->close(ConnectionEnd::ResponseSent);
                           self->read();
                       });
 }
@@ -325,10 +342,11 @@
     m_closed = nullptr;
 }
 
-void HttpServer::Session::close()
+void HttpServer::Session::close(ConnectionEnd end)
 {
     if (m_phase == Phase::Closed)
         return;
+    recordEnd(end);
     m_phase = Phase::Closed;
     const auto closed = std::exchange(m_closed, nullptr);
     const bool open = m_exchangeOpen;
@@ -344,14 +362,55 @@
 {
     const HttpServerSettings &settings = m_listener->settings();
     if (m_phase == Phase::Idle) {
-        const bool partial = m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+        const bool partial = requestBegun();
         if (now > m_since + (partial ? settings.requestTimeout : settings.idleTimeout))
-            close();
+            close(partial ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout);
     } else if (m_phase == Phase::Writing && now > m_since + settings.idleTimeout) {
-        close();
+        close(ConnectionEnd::WriteTimeout);
     }
 }
 
+bool HttpServer::Session::requestBegun() const
+{
+    if (m_phase == Phase::Idle)
+        return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+    return m_phase == Phase::Handling || m_phase == Phase::Writing;
+}
+
+std::string_view HttpServer::Session::phaseName() const
+{
+    switch (m_phase) {
+    case Phase::Idle:
+        return requestBegun() ? "reading" : "idle";
+    case Phase::Handling:
+        return "handling";
+    case Phase::Writing:
+        return "writing";
+    case Phase::Closed:
+        break;
+    }
+    return "closed";
+}
+
+void HttpServer::Session::recordEnd(ConnectionEnd end)
+{
+    if (std::exchange(m_endRecorded, true))
+        return;
+    m_listener->ends.add(end);
+    if (!requestBegun() || end == ConnectionEnd::ResponseSent)
+        return;
+    boost::system::error_code ignored;
+    const std::size_t unread = m_socket.is_open() ? m_socket.available(ignored) : 0;
+    LogEvent(LogLevel::Info, "connection_ended")
+        .field("listener", m_listener->settings().name)
+        .field("reason", toString(end))
+        .field("phase", phaseName())
+        .field("phase_ms", (m_listener->now() - m_since).count() / 1000)
+        .field("request", m_requestId)
+        .field("unread_bytes", unread)
+        .field("responses_before", m_responses);
+}
+
 HttpServer::HttpServer(std::shared_ptr<Listener> listener)
     : m_listener(std::move(listener))
 { }
@@ -381,6 +440,11 @@
     return m_listener->openExchanges;
 }
 
+const ConnectionEndCounts &HttpServer::connectionEnds() const
+{
+    return m_listener->ends;
+}
+
 bool HttpServer::idle() const
 {
     return m_listener->openExchanges == 0 && m_listener->writing == 0;
--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -5,6 +5,7 @@
 
 #include "base/coretime.h"
 #include "kernel/timerservice.h"
+#include "net/connectionend.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +24,8 @@
 
 struct HttpServerSettings
 {
+    // Name of the listener in logs and metrics.
+    std::string name;
     boost::asio::ip::tcp::endpoint endpoint;
     std::size_t maxHeaderBytes = 16UL << 10;
     std::size_t maxBodyBytes = 256UL << 10;
@@ -86,6 +89,8 @@
     std::size_t openExchanges() const;
     // No request waits for its response, and every response has been handed to the system.
     bool idle() const;
+    // Connections that have ended, by reason.
+    const ConnectionEndCounts &connectionEnds() const;
     // From now on each response closes its connection; idle connections stay until their next one.
     void closeAfterResponse();
 
