--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <thread>
 
 using namespace Bluebellquay;
 using namespace std::chrono_literals;
@@ -18,9 +19,10 @@
 class HttpFixture
 {
 public:
-    HttpFixture()
+    HttpFixture() { serve(HttpServerSettings()); }
+
+    void serve(HttpServerSettings settings)
     {
-        HttpServerSettings settings;
         settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
         settings.maxBodyBytes = 1'000;
         server = HttpServer::create(context, timers, settings,
@@ -37,6 +39,12 @@
         client.emplace(context, timers, endpoint);
     }
 
+    // Runs the event loop for this time.
+    void pass(Duration span)
+    {
+        for (const TimePoint end = timers.now() + span; timers.now() < end;)
+            context.run_one_for(1ms);
+    }
     // Runs the event loop until the condition holds.
     template <typename Condition>
     void until(Condition condition)
@@ -64,6 +72,41 @@
     bool answerAtOnce = true;
 };
 
+// A caller that sends its requests in pieces on one connection.
+class PiecewiseCaller
+{
+public:
+    explicit PiecewiseCaller(const Tcp::endpoint &server) { m_socket.connect(server); }
+
+    void send(std::string_view bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+    void close() { m_socket.close(); }
+    // All that the server has sent until now. Sets ended() if it has closed the connection.
+    const std::string &received()
+    {
+        std::string bytes(4'096, '\0');
+        boost::system::error_code error;
+        m_socket.non_blocking(true);
+        const std::size_t size = m_socket.receive(boost::asio::buffer(bytes), 0, error);
+        m_socket.non_blocking(false);
+        m_ended = m_ended || (error && error != boost::asio::error::would_block);
+        return m_received.append(bytes, 0, error ? 0 : size);
+    }
+    bool answered(unsigned status)
+    {
+        return received().find("HTTP/1.1 " + std::to_string(status)) != std::string::npos;
+    }
+    bool ended() const { return m_ended; }
+    void forget() { m_received.clear(); }
+
+private:
+    boost::asio::io_context m_context;
+    Tcp::socket m_socket{m_context};
+    std::string m_received;
+    bool m_ended = false;
+};
+
+constexpr std::string_view SmallRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
 } // namespace
 
 TEST_CASE_METHOD(HttpFixture, "a call is answered, and its connection serves the next one")
@@ -157,3 +200,51 @@
     CHECK(call({"GET", "/", {}, {}, 2s}).answered(200));
     CHECK(server->idle());
 }
+
+TEST_CASE_METHOD(HttpFixture, "a request that comes in two parts after an idle time is answered",
+                 "[!mayfail]")
+{
+    HttpServerSettings settings;
+    settings.requestTimeout = 2s;
+    serve(settings);
+    PiecewiseCaller caller(endpoint);
+    caller.send(SmallRequest);
+    until([&] { return caller.answered(200); });
+    caller.forget();
+    pass(settings.requestTimeout + 100ms);
+    caller.send(SmallRequest.substr(0, 10));
+    // Longer than the time between two sweeps.
+    pass(700ms);
+    caller.send(SmallRequest.substr(10));
+    until([&] { return caller.answered(200) || caller.ended(); });
+    CHECK_FALSE(caller.ended());
+    CHECK(requests.size() == 2);
+}
+
+TEST_CASE_METHOD(HttpFixture, "a request that arrives while the process is held up is answered",
+                 "[!mayfail]")
+{
+    HttpServerSettings settings;
+    settings.requestTimeout = 1s;
+    serve(settings);
+    PiecewiseCaller caller(endpoint);
+    caller.send(SmallRequest);
+    until([&] { return caller.answered(200); });
+    const std::string large = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\nX-Padding: "
+        + std::string(900, 'x') + "\r\n\r\n" + std::string(900, 'y');
+    for (const bool begun : {false, true}) {
+        CAPTURE(begun);
+        requests.clear();
+        caller.forget();
+        pass(settings.requestTimeout + 100ms);
+        if (begun) {
+            caller.send(std::string_view(large).substr(0, 100));
+            pass(10ms);
+        }
+        caller.send(std::string_view(large).substr(begun ? 100 : 0));
+        std::this_thread::sleep_for(settings.requestTimeout + 100ms);
+        until([&] { return caller.answered(200) || caller.ended(); });
+        REQUIRE_FALSE(caller.ended());
+        CHECK(requests.size() == 1);
+    }
+}
