Count the time for a request from its first byte, and never close on unread bytes

Class: a timeout that is measured from another moment than the one it limits, and that takes the process's own delay for the client's.

One read takes 4 KiB, which most requests fit.

--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -28,6 +27,8 @@
 // Delay after an accept that failed, for example because no file descriptor is left.
 constexpr Duration AcceptRetryDelay{50'000};
 constexpr int ListenBacklog = 1024;
+// Most requests fit, so that one read takes them whole.
+constexpr std::size_t ReadBytes = 4'096;
 constexpr const char *RequestIdHeader = "Request-Id";
 
 } // namespace
@@ -110,9 +111,14 @@
     void close(ConnectionEnd end);
 
 private:
-    enum class Phase { Idle, Handling, Writing, Closed };
-
-    void requestRead(const boost::system::error_code &error);
+    enum class Phase { Idle, Reading, Handling, Writing, Closed };
+
+    void receive();
+    void received(const boost::system::error_code &error, std::size_t size);
+    void parse();
+    void refuseMalformed(const boost::system::error_code &error);
+    void requestRead();
+    void enter(Phase phase);
     // Whether the client has closed its side or reset the connection by now.
     bool clientGone();
     void watchForClose();
@@ -120,7 +126,9 @@
     void settle();
     // Counts the end of the connection, and logs it if a request had begun. The first one counts.
     void recordEnd(ConnectionEnd end);
-    bool requestBegun() const;
+    bool requestBegun() const { return m_phase != Phase::Idle && m_phase != Phase::Closed; }
+    // Bytes that have arrived and are not read yet.
+    std::size_t unreadBytes();
     std::string_view phaseName() const;
 
     std::shared_ptr<Listener> m_listener;
@@ -215,38 +223,75 @@
     }
 }
 
-void HttpServer::Session::read()
+void HttpServer::Session::enter(Phase phase)
 {
-    m_phase = Phase::Idle;
+    m_phase = phase;
     m_since = m_listener->now();
+}
+
+void HttpServer::Session::read()
+{
+    enter(Phase::Idle);
     m_requestId.clear();
     m_parser.emplace();
+    m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(m_listener->settings().maxHeaderBytes));
     m_parser->body_limit(m_listener->settings().maxBodyBytes);
-    http::async_read(m_socket, m_buffer, *m_parser,
-                     [self = shared_from_this()](const boost::system::error_code &error,
-                                                 std::size_t) { self->requestRead(error); });
+    if (m_buffer.size() > 0)
+        parse();
+    else
+        receive();
+}
+
+void HttpServer::Session::receive()
+{
+    m_socket.async_read_some(
+        m_buffer.prepare(ReadBytes),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+            self->received(error, size);
+        });
 }
 
-void HttpServer::Session::requestRead(const boost::system::error_code &error)
+void HttpServer::Session::received(const boost::system::error_code &error, std::size_t size)
 {
     if (m_phase == Phase::Closed)
         return;
-    if (error) {
-        const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit
-            || error == http::error::buffer_overflow;
-        const ConnectionEnd end =
-            requestBegun() ? ConnectionEnd::RequestCutShort : ConnectionEnd::ClientClosed;
-        if (!tooLarge && m_parser->is_header_done() == false && m_buffer.size() == 0)
-            return close(end);
-        if (error == http::error::end_of_stream
-            || error.category() == asio::error::get_system_category())
-            return close(end);
-        m_keepAlive = false;
-        m_exchangeOpen = true;
-        ++m_listener->openExchanges;
-        return respond(HttpResponse{tooLarge ? 413U : 400U, {}, {}});
+    if (error)
+        return close(requestBegun() ? ConnectionEnd::RequestCutShort : ConnectionEnd::ClientClosed);
+    m_buffer.commit(size);
+    parse();
+}
+
+void HttpServer::Session::parse()
+{
+    if (m_phase == Phase::Idle)
+        enter(Phase::Reading);
+    boost::system::error_code error;
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        if (error || used == 0)
+            break;
     }
+    if (error && error != http::error::need_more)
+        return refuseMalformed(error);
+    if (m_parser->is_done())
+        requestRead();
+    else
+        receive();
+}
+
+void HttpServer::Session::refuseMalformed(const boost::system::error_code &error)
+{
+    const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
+    m_keepAlive = false;
+    m_exchangeOpen = true;
+    ++m_listener->openExchanges;
+    respond(HttpResponse{tooLarge ? 413U : 400U, {}, {}});
+}
+
+void HttpServer::Session::requestRead()
+{
     // A process that was paused or busy finds requests whose callers gave up on it long ago and
     // have gone elsewhere with them.
     m_requestId = std::string(m_parser->get()[RequestIdHeader]);
@@ -260,8 +305,7 @@
     request.host = std::string(message[http::field::host]);
     request.body = std::move(message.body());
     request.headers = std::move(static_cast<http::fields &>(message.base()));
-    m_phase = Phase::Handling;
-    m_since = m_listener->now();
+    enter(Phase::Handling);
     m_exchangeOpen = true;
     ++m_listener->openExchanges;
     m_listener->handle(request, shared_from_this());
@@ -300,8 +344,7 @@
     if (!m_exchangeOpen || m_phase == Phase::Closed)
         return;
     settle();
-    m_phase = Phase::Writing;
-    m_since = m_listener->now();
+    enter(Phase::Writing);
     const bool keepAlive = m_keepAlive && !m_listener->closing;
     m_response = {};
     m_response.version(HttpVersion11);
@@ -361,27 +404,32 @@
 void HttpServer::Session::sweep(TimePoint now)
 {
     const HttpServerSettings &settings = m_listener->settings();
-    if (m_phase == Phase::Idle) {
-        const bool partial = requestBegun();
-        if (now > m_since + (partial ? settings.requestTimeout : settings.idleTimeout))
-            close(partial ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout);
-    } else if (m_phase == Phase::Writing && now > m_since + settings.idleTimeout) {
-        close(ConnectionEnd::WriteTimeout);
-    }
+    const Duration limit =
+        m_phase == Phase::Reading ? settings.requestTimeout : settings.idleTimeout;
+    if (m_phase == Phase::Handling || now <= m_since + limit)
+        return;
+    if (m_phase == Phase::Writing)
+        return close(ConnectionEnd::WriteTimeout);
+    // A process that was held up finds the sweep due before it has read what arrived meanwhile.
+    if (unreadBytes() > 0)
+        return;
+    close(m_phase == Phase::Reading ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout);
 }
 
-bool HttpServer::Session::requestBegun() const
+std::size_t HttpServer::Session::unreadBytes()
 {
-    if (m_phase == Phase::Idle)
-        return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
-    return m_phase == Phase::Handling || m_phase == Phase::Writing;
+    boost::system::error_code error;
+    const std::size_t size = m_socket.is_open() ? m_socket.available(error) : 0;
+    return error ? 0 : size;
 }
 
 std::string_view HttpServer::Session::phaseName() const
 {
     switch (m_phase) {
     case Phase::Idle:
-        return requestBegun() ? "reading" : "idle";
+        return "idle";
+    case Phase::Reading:
+        return "reading";
     case Phase::Handling:
         return "handling";
     case Phase::Writing:
@@ -399,15 +447,13 @@
     m_listener->ends.add(end);
     if (!requestBegun() || end == ConnectionEnd::ResponseSent)
         return;
-    boost::system::error_code ignored;
-    const std::size_t unread = m_socket.is_open() ? m_socket.available(ignored) : 0;
     LogEvent(LogLevel::Info, "connection_ended")
         .field("listener", m_listener->settings().name)
         .field("reason", toString(end))
         .field("phase", phaseName())
         .field("phase_ms", (m_listener->now() - m_since).count() / 1000)
         .field("request", m_requestId)
-        .field("unread_bytes", unread)
+        .field("unread_bytes", unreadBytes())
         .field("responses_before", m_responses);
 }
 
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -201,8 +201,7 @@
     CHECK(server->idle());
 }
 
-TEST_CASE_METHOD(HttpFixture, "a request that comes in two parts after an idle time is answered",
-                 "[!mayfail]")
+TEST_CASE_METHOD(HttpFixture, "a request that comes in two parts after an idle time is answered")
 {
     HttpServerSettings settings;
     settings.requestTimeout = 2s;
@@ -221,8 +220,7 @@
     CHECK(requests.size() == 2);
 }
 
-TEST_CASE_METHOD(HttpFixture, "a request that arrives while the process is held up is answered",
-                 "[!mayfail]")
+TEST_CASE_METHOD(HttpFixture, "a request that arrives while the process is held up is answered")
 {
     HttpServerSettings settings;
     settings.requestTimeout = 1s;
