Repeat no start on a worker whose capacity has shrunk below its runs

What would be seen: a start over the capacity of a worker that does not check it (LIMIT), when answers are lost while its capacity shrinks.

Cause: a start without an answer is repeated every 10 ms for 90 ms. The capacity was compared only before the first call. If the worker had not seen that call and announced a smaller capacity meanwhile, the repeat started the run over it.

Evidence: two tests that failed before.

Why this works: while the runs exceed the capacity, a run without an answer is stopped instead of repeated. The stop closes its number at the worker, so that a late copy is refused as well, and the home orders it elsewhere when its end is certain. A run that fits is repeated as before. Starts that the worker has answered, and the first call, are not touched.

The model judges a start that crosses the announcement (2 ms) by the old capacity. Its check of the answers also finds a job that was started though its caller was told that it was not.

--- a/source/core/heldcapacity.h
+++ b/source/core/heldcapacity.h
@@ -29,6 +29,12 @@
     // In thousandths of a processor.
     std::uint32_t milliProcessors() const { return m_held.milliProcessors; }
     ResourceNeed freeOf(const ResourceNeed &room) const { return difference(room, m_held); }
+    // Whether the room has shrunk below what is held.
+    bool exceeds(const ResourceNeed &room) const
+    {
+        return m_held.milliProcessors > room.milliProcessors
+            || m_held.memoryBytes > room.memoryBytes || m_held.accelerators > room.accelerators;
+    }
     // Whether the need fits into the room, with so many thousandths of a processor left free.
     bool fits(const ResourceNeed &need, std::uint32_t keepFree, const ResourceNeed &room) const
     {
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -400,7 +400,10 @@
     const auto position = m_runs.find(key);
     if (position == m_runs.end() || position->second.state != RunState::Ordered)
         return;
-    if (position->second.attempts.givenUp(now))
+    // The worker may not have seen the earlier calls. If its capacity has shrunk below its runs
+    // meanwhile, a repeat would start the run over it.
+    const bool exceeded = m_worker && m_held.exceeds(m_worker->room);
+    if (exceeded || position->second.attempts.givenUp(now))
         return requestStop(now, key, position->second, out);
     ++m_statistics.startsRepeated;
     sendStart(now, key, position->second, out);
--- a/tests/dispatch/heavyloadtest.cpp
+++ b/tests/dispatch/heavyloadtest.cpp
@@ -1,5 +1,5 @@
 // Simulates heavy loads and checks the answers that callers get: bursts beyond the capacity, a
-// suspended worker, and lost orders.
+// suspended worker, workers whose capacity shrinks, and lost orders.
 #include "dispatch/keyedsite.h"
 
 #include <catch2/catch.hpp>
@@ -24,7 +24,8 @@
 }
 
 // Submits jobs of two tasks that need this share of the capacity of all workers.
-void load(KeyedSite &site, std::size_t agents, double share, Duration span, std::size_t entries = 3)
+void submitFor(KeyedSite &site, std::size_t agents, double share, Duration span,
+               std::size_t entries = 3)
 {
     const double tasksPerSecond = static_cast<double>(agents) * 10 * share * 10;
     const Duration gap(static_cast<Duration::rep>(2e6 / tasksPerSecond));
@@ -33,9 +34,22 @@
         site.submit(entry++ % entries, 2, task(), RunTime * 2, 2s);
         site.run(gap);
     }
+}
+
+// The same, until the last job is answered.
+void load(KeyedSite &site, std::size_t agents, double share, Duration span, std::size_t entries = 3)
+{
+    submitFor(site, agents, share, span, entries);
     site.run(3s);
 }
 
+// Half of four workers shrink to this share of their capacity.
+void shrinkHalf(KeyedSite &site, double share)
+{
+    site.resizeWorker(0, share);
+    site.resizeWorker(1, share);
+}
+
 struct Served
 {
     double inTime = 0;
@@ -155,3 +169,20 @@
     CHECK(served(site).inTime >= 0.9);
     CHECK(site.violations().empty());
 }
+
+TEST_CASE("nothing is started over a capacity that shrinks while runs fill it")
+{
+    KeyedSiteSettings settings;
+    settings.lostAnswers = GENERATE(0.0, 0.1);
+    for (settings.seed = 1; settings.seed <= 10; ++settings.seed) {
+        CAPTURE(settings.seed, settings.lostAnswers);
+        KeyedSite site(settings);
+        submitFor(site, 4, 1, 1s);
+        for (const double share : {0.5, 0.8, 0.3}) {
+            shrinkHalf(site, share);
+            submitFor(site, 4, 1, 1s);
+        }
+        site.run(3s);
+        CHECK(site.violations() == std::vector<std::string>{});
+    }
+}
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -592,6 +592,18 @@
     m_clock.at(m_clock.now() + span, [this, agent] { m_agents[agent]->worker->standStill(false); });
 }
 
+void KeyedSite::resizeWorker(std::size_t index, double share)
+{
+    ResourceNeed room = m_settings.room;
+    room.milliProcessors = static_cast<std::uint32_t>(room.milliProcessors * share);
+    m_agents[index]->worker->resize(room);
+    m_clock.at(m_clock.now() + AnnouncementLatency, [this, index] {
+        driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
+            tracker.workerAnnounced(m_clock.now(), m_agents[index]->worker->profile(), out);
+        });
+    });
+}
+
 std::size_t KeyedSite::workersUp() const
 {
     return static_cast<std::size_t>(std::count_if(
@@ -642,6 +654,10 @@
         if (call.open && m_clock.now() > call.deadline + LinkLatency
             && m_entries[call.entry]->calls.contains(call.id))
             found.push_back(name + " was never answered");
+        // An earlier submission, whose entry died, may have started it.
+        if (end.answered && end.answer.outcome == Outcome::NotRun && call.submission == 0
+            && m_judge.wasStarted(job))
+            found.push_back(name + " was started though its caller was told that it was not");
         if (!end.answered || end.answer.outcome != Outcome::Completed)
             continue;
         for (std::uint32_t index = 0; index < m_calls.at(job).tasks; ++index) {
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -73,6 +73,8 @@
     void standStill(std::size_t agent, Duration span);
     // Without a span, the worker is back after 200 ms.
     void crashWorker(std::size_t index, std::optional<Duration> down = std::nullopt);
+    // The worker announces this share of its processors as its capacity from now on.
+    void resizeWorker(std::size_t index, double share);
     // Workers that are up now.
     std::size_t workersUp() const;
     void run(Duration span);
--- a/tests/dispatch/modelworker.cpp
+++ b/tests/dispatch/modelworker.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration Way{150};
 constexpr Duration StopTime{20'000};
+// An announcement and a start that crosses it take less.
+constexpr Duration StartsUnderWay{2'000};
 
 std::string describe(const RunKey &run)
 {
@@ -56,6 +58,12 @@
     return m_doneTasks.contains({job, step, index});
 }
 
+bool RunJudge::wasStarted(JobKey job) const
+{
+    const auto first = m_running.lower_bound({job, 0, 0});
+    return first != m_running.end() && std::get<JobKey>(first->first) == job;
+}
+
 ModelWorker::ModelWorker(VirtualClock &clock, std::mt19937_64 &random, RunJudge &judge,
                          TaskOf taskOf, ModelWorkerSettings settings, std::function<void()> crashed)
     : m_clock(clock)
@@ -64,6 +72,7 @@
     , m_taskOf(std::move(taskOf))
     , m_settings(std::move(settings))
     , m_crashed(std::move(crashed))
+    , m_judgedRoom(m_settings.room)
 { }
 
 void ModelWorker::deliver(const std::function<void()> &call, const std::function<void()> &answer)
@@ -115,7 +124,7 @@
     for (const auto &[key, running] : m_runs)
         held.milliProcessors += running.task.need.milliProcessors;
     const ModelTask task = m_taskOf(run);
-    m_judge.started(m_clock.now(), m_settings.name, run, task, held, m_settings.room);
+    m_judge.started(m_clock.now(), m_settings.name, run, task, held, m_judgedRoom);
     renew(deadline);
     m_runs[run] = Running{task, 0, false};
     scheduleEnd(run);
@@ -261,6 +270,14 @@
     ++m_bornMs;
 }
 
+void ModelWorker::resize(const ResourceNeed &room)
+{
+    m_settings.room = room;
+    if (room.milliProcessors > m_judgedRoom.milliProcessors)
+        m_judgedRoom = room;
+    m_clock.at(m_clock.now() + StartsUnderWay, [this] { m_judgedRoom = m_settings.room; });
+}
+
 WorkerProfile ModelWorker::profile() const
 {
     WorkerProfile profile;
--- a/tests/dispatch/modelworker.h
+++ b/tests/dispatch/modelworker.h
@@ -48,6 +48,7 @@
     std::size_t starts() const { return m_starts; }
     std::size_t done() const { return m_done; }
     bool isDone(JobKey job, std::uint32_t step, std::uint32_t index) const;
+    bool wasStarted(JobKey job) const;
 
 private:
     using Task = std::tuple<JobKey, std::uint32_t, std::uint32_t>;
@@ -94,6 +95,9 @@
     // Everything that runs is gone, and no call arrives until the worker is started again.
     void crash();
     void startAgain() { m_up = true; }
+    // Runs that take more than the new capacity go on. Starts that are under way when the capacity
+    // shrinks are judged by the old one.
+    void resize(const ResourceNeed &room);
     bool isUp() const { return m_up; }
     WorkerProfile profile() const;
     std::size_t running() const { return m_runs.size(); }
@@ -146,6 +150,8 @@
     std::map<std::tuple<JobKey, std::uint32_t, std::uint32_t>, RunNumber> m_closed;
     std::vector<Ended> m_ended;
     std::vector<Waiting> m_holds;
+    // Capacity by which starts are judged.
+    ResourceNeed m_judgedRoom;
 };
 
 } // namespace Bluebellquay::Testing
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -162,6 +162,22 @@
     CHECK(out.starts.size() == 2);
 }
 
+// Guards against starts over a capacity that shrank after the first call was lost.
+TEST_CASE_METHOD(LedgerFixture, "a start is not repeated on a worker that its runs exceed by now")
+{
+    order(0, 30'000);
+    order(1, 20'000);
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    profile.room.milliProcessors = GENERATE(50'000U, 40'000U);
+    ledger.workerAnnounced(now, profile, out);
+    clear();
+    pass(StartAttempts::RepeatInterval);
+    ledger.advance(now, out);
+    const bool fits = profile.room.milliProcessors == 50'000;
+    CHECK(out.starts.size() == (fits ? 1 : 0));
+    CHECK(out.stops.size() == (fits ? 0 : 1));
+}
+
 TEST_CASE_METHOD(LedgerFixture, "an account that was overtaken by a newer one ends no run")
 {
     order(0, 40'000);
