Test bursts on workers whose capacity has shrunk, and that they are filled when it grows back

In the model: with half of four workers at 0.55 of their capacity and a burst of 1.2 times the full one, three quarters of what the smaller capacity can do is in time (the bound of the burst beyond the full capacity), refusals come within 500 ms, and no refused job was started. A worker whose capacity grows back is filled within one interval of the reports (5 ms for each home) and the way of an order.

Both pass on the code before: they guard what it does.

--- a/tests/dispatch/heavyloadtest.cpp
+++ b/tests/dispatch/heavyloadtest.cpp
@@ -186,3 +186,35 @@
         CHECK(site.violations() == std::vector<std::string>{});
     }
 }
+
+TEST_CASE("in a burst on shrunk workers, what can be served in time is, and the rest refused early")
+{
+    KeyedSite site(KeyedSiteSettings{});
+    submitFor(site, 4, 0.6, 1s);
+    const std::size_t before = site.ends().size();
+    shrinkHalf(site, 0.55);
+    submitFor(site, 4, 1.2, 4s);
+    const auto inBurst = static_cast<double>(site.ends().size() - before);
+    site.run(3s);
+    const Served result = served(site);
+    // The capacity is 0.775 of the full one; three quarters of it, as beyond the full capacity.
+    const double inTime = result.inTime * static_cast<double>(site.ends().size());
+    CHECK(inTime - static_cast<double>(before) >= 0.75 * 0.775 / 1.2 * inBurst);
+    CHECK(result.slowestRefusal <= 500ms);
+    CHECK(site.violations().empty());
+}
+
+TEST_CASE("a worker is filled again once all homes have heard that its capacity has grown back")
+{
+    KeyedSiteSettings settings;
+    settings.entries = 13;
+    KeyedSite site(settings);
+    shrinkHalf(site, 0.3);
+    submitFor(site, 4, 1.2, 1s, settings.entries);
+    REQUIRE(site.runsAt(0) <= 3);
+    shrinkHalf(site, 1);
+    // One interval between reports, and the way of a report and of an order.
+    site.run(CapacityReporter::IntervalPerHome * settings.entries + 5ms);
+    CHECK(site.runsAt(0) >= 9);
+    CHECK(site.runsAt(1) >= 9);
+}
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -604,6 +604,11 @@
     });
 }
 
+std::size_t KeyedSite::runsAt(std::size_t index) const
+{
+    return m_agents[index]->worker->running();
+}
+
 std::size_t KeyedSite::workersUp() const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -75,6 +75,7 @@
     void crashWorker(std::size_t index, std::optional<Duration> down = std::nullopt);
     // The worker announces this share of its processors as its capacity from now on.
     void resizeWorker(std::size_t index, double share);
+    std::size_t runsAt(std::size_t index) const;
     // Workers that are up now.
     std::size_t workersUp() const;
     void run(Duration span);
