Test that entries killed while tasks crash workers don't widen the loss

Nothing tested a home that dies while a queue is confined: its successor must take over what the others have found. Passes on the code before; it guards what it does.

--- a/tests/dispatch/crashisolationtest.cpp
+++ b/tests/dispatch/crashisolationtest.cpp
@@ -316,3 +316,20 @@
         CHECK(load.site().violations().empty());
     }
 }
+
+TEST_CASE("entries that are killed while tasks crash workers leave half of them to other queues")
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CAPTURE(seed);
+        CrashingLoad load(seed);
+        for (const Duration at : {2s, 5s, 8s}) {
+            const std::size_t entry = static_cast<std::size_t>(at / 1s) % 3;
+            load.site().clock().at(load.site().clock().now() + at,
+                                   [&load, entry] { load.site().killEntry(entry, 500ms); });
+        }
+        CHECK(load.play(11s) >= 6);
+        load.site().run(5s);
+        CHECK(load.othersCompleted() >= 0.9);
+        CHECK(load.site().violations().empty());
+    }
+}
