--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -158,6 +158,24 @@
     CHECK_FALSE(decodeConfig("{"));
 }
 
+TEST_CASE("numbers of a route are read in any notation, others leave the route out")
+{
+    const auto decode = [](const std::string &number) {
+        return decodeConfig(
+            R"({"version":8.0,"routes":[{"name":"r","host":"h","pathPrefix":"/","service":"s",)"
+            R"("x":{"advice":[1]},"objectiveMs":)"
+            + number + "}]}");
+    };
+    for (const char *number : {"60", "60.0", "6e1"})
+        CHECK(decode(number)->rules.find("h", "/")->allowance == 60ms);
+    CHECK(decode("18446744073709551615")->rules.find("h", "/")->allowance == 24h);
+    for (const char *number : {"-1", "0.5", "1e300", "18446744073709551616", "\"60\"", "null"})
+        CHECK(decode(number)->findings.size() == 1);
+    CHECK_FALSE(decode(std::string(100'000, '[')));
+    CHECK_FALSE(decode("1}]} x"));
+    CHECK_FALSE(decode("\"\xff\""));
+}
+
 TEST_CASE("an announcement names a worker; one of another writer names none")
 {
     std::string reason;
