Read large answers of HTTP calls in steps of 64 KB

An entry with a small processor quota had a large configuration in force late. Reading the store's answer of 1.5 MB alone took 5.4 ms of processor time: Beast reads no more than its buffer holds without growing, which is 512 bytes on a new connection, so the answer came in some 3,000 reads.

The client now reads the header first and reserves 64 KB if a large body follows; the buffer is given back afterwards.

--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -24,6 +24,10 @@
 
 constexpr unsigned HttpVersion11 = 11;
 constexpr std::size_t MaxReplyBytes = 8UL << 20;
+// Beast reads what the buffer holds without growing, 512 bytes at first. A body that is larger than
+// the first size is read in steps of the second, so that it takes few system calls.
+constexpr std::size_t SmallBodyBytes = 4UL << 10;
+constexpr std::size_t LargeReadBytes = 64UL << 10;
 // A connection on which nothing comes back is noticed after about three seconds, also while a long
 // poll waits.
 constexpr int KeepAliveIdleSeconds = 1;
@@ -101,6 +105,7 @@
     void connect();
     void send();
     void receive();
+    void receiveBody();
     void finish(HttpReply reply, bool reusable);
 
     std::shared_ptr<State> m_state;
@@ -178,6 +183,21 @@
 {
     m_parser.emplace();
     m_parser->body_limit(MaxReplyBytes);
+    http::async_read_header(m_socket, m_buffer, *m_parser,
+                            [self = shared_from_this(), generation = m_generation](
+                                const boost::system::error_code &error, std::size_t) {
+                                if (generation != self->m_generation || !self->m_callback)
+                                    return;
+                                if (error)
+                                    return self->finish(noAnswer(true), false);
+                                self->receiveBody();
+                            });
+}
+
+void HttpClient::Connection::receiveBody()
+{
+    if (m_parser->content_length().value_or(0) > SmallBodyBytes)
+        m_buffer.reserve(LargeReadBytes);
     http::async_read(m_socket, m_buffer, *m_parser,
                      [self = shared_from_this(), generation = m_generation](
                          const boost::system::error_code &error, std::size_t) {
@@ -186,6 +206,9 @@
                          if (error)
                              return self->finish(noAnswer(true), false);
                          http::response<http::string_body> message = self->m_parser->release();
+                         // Connections are many, large answers are rare.
+                         if (self->m_buffer.capacity() >= LargeReadBytes)
+                             self->m_buffer.shrink_to_fit();
                          HttpReply reply;
                          reply.end = HttpCallEnd::Answered;
                          reply.status = message.result_int();
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -123,6 +123,21 @@
     CHECK(server->openExchanges() == 0);
 }
 
+TEST_CASE_METHOD(HttpFixture, "a large answer takes few turns of the event loop")
+{
+    answerAtOnce = false;
+    std::optional<HttpReply> reply;
+    client->call({"GET", "/", {}, {}, 2s}, [&](HttpReply got) { reply = std::move(got); });
+    until([&] { return !open.empty(); });
+    open[0]->respond({200, std::string(1 << 20, 'x'), {}});
+    int turns = 0;
+    while (!reply && turns < 10'000)
+        turns += static_cast<int>(context.run_one_for(1s));
+    REQUIRE(reply);
+    CHECK(reply->body == std::string(1 << 20, 'x'));
+    CHECK(turns < 400);
+}
+
 TEST_CASE_METHOD(HttpFixture, "a body beyond the limit is refused without the handler")
 {
     CHECK(call({"POST", "/", std::string(2'000, 'x'), {}, 2s}).status == 413);
