Decode a configuration that the store brings once

An entry decoded each configuration of the store twice, first for its version and again before it was put in force, and held its event loop for both. Now the store's row is decoded once and offered to the relay as checked; documents of peers are decoded once as before, and moved instead of copied.

An older or equal version is not taken on either way, as the test of the new function says.

--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -195,3 +195,20 @@
     CHECK(sent.size() == 1);
     CHECK(taken == std::vector<std::uint64_t>{5});
 }
+
+TEST_CASE("a document that the caller has checked is taken without the handler, if it is newer")
+{
+    int checks = 0;
+    ConfigRelay relay(
+        0ms,
+        [&](const ConfigDocument &) {
+            ++checks;
+            return true;
+        },
+        [](Incarnation, const Message &) {});
+    CHECK(relay.offerChecked(document(5)));
+    CHECK_FALSE(relay.offerChecked(document(5)));
+    CHECK_FALSE(relay.offerChecked(document(4)));
+    CHECK(relay.version() == ConfigVersion(5));
+    CHECK(checks == 0);
+}
