Let agents fetch a configuration late unless an entry needs it

After a large change of the configuration entries sent up to 3 MB a second for some seconds, links became silent, and callers saw late answers: each of 70 agents fetched the document of 1 MB within 3.4 s, although every entry had it already and agents keep it only to pass it on.

It passes a document on to an entry that is cut off as soon as before, and the first agent that does so ends the need of the others. Several changes within some seconds take one copy.

The first request goes to a peer with the newest version that was heard, since old copies stay longer: an entry without the store must not put one in force while a newer one is on offer. If that peer doesn't answer, any newer version is asked for.

--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -50,6 +50,13 @@
     Evacuations evacuations;
 };
 
+Heartbeat heartbeatOf(std::uint64_t version)
+{
+    Heartbeat heartbeat;
+    heartbeat.configVersion = ConfigVersion(version);
+    return heartbeat;
+}
+
 ConfigDocument document(std::uint64_t version)
 {
     return {ConfigVersion(version), {}, "text " + std::to_string(version)};
@@ -153,7 +160,7 @@
 {
     std::vector<Message> sent;
     ConfigRelay relay(
-        400ms, [](const ConfigDocument &) { return true; },
+        {400ms, 400ms}, [](const ConfigDocument &) { return true; },
         [&](Incarnation, const Message &message) { sent.push_back(message); });
     CHECK(relay.offer(document(5)));
     Heartbeat heartbeat;
@@ -179,7 +186,7 @@
     std::vector<Message> sent;
     std::vector<std::uint64_t> taken;
     ConfigRelay relay(
-        0ms,
+        {},
         [&](const ConfigDocument &offered) {
             taken.push_back(offered.version.value());
             return true;
@@ -200,7 +207,7 @@
 {
     int checks = 0;
     ConfigRelay relay(
-        0ms,
+        {},
         [&](const ConfigDocument &) {
             ++checks;
             return true;
@@ -212,3 +219,43 @@
     CHECK(relay.version() == ConfigVersion(5));
     CHECK(checks == 0);
 }
+
+// Seen in the incident of the grown hinokuni-archive: 70 agents asked for a document of 1 MB within
+// seconds of each change, although every entry had it.
+TEST_CASE("an agent asks for a newer configuration late, but soon while a peer of it is behind")
+{
+    std::vector<Incarnation> asked;
+    ConfigRelay relay(
+        {1s, 10s}, [](const ConfigDocument &) { return true; },
+        [&](Incarnation to, const Message &) { asked.push_back(to); });
+    CHECK(relay.offer(document(5)));
+    const auto hear = [&](Duration at, std::uint64_t peer, std::uint64_t version) {
+        relay.heard(TimePoint(10s) + at, Incarnation(peer), heartbeatOf(version));
+        return asked.size();
+    };
+    CHECK(hear(0s, 1, 5) + hear(0s, 2, 5) == 0);
+    CHECK(hear(100ms, 1, 7) + hear(600ms, 2, 7) == 0);
+    CHECK(hear(2s, 1, 7) + hear(9s, 2, 7) == 0);
+    // A third entry is cut off from the store.
+    CHECK(hear(9s, 3, 5) == 0);
+    SECTION("which its peers answer")
+    {
+        // Of two newer versions the newest is requested first.
+        CHECK(hear(9100ms, 2, 8) == 1);
+        CHECK(asked[0] == Incarnation(2));
+        CHECK(relay.offer(document(8)));
+        CHECK(hear(30s, 2, 8) == 1);
+    }
+    SECTION("which is then gone")
+    {
+        relay.peerDown(Incarnation(3));
+        CHECK(hear(9100ms, 2, 7) == 0);
+        CHECK(hear(10'200ms, 1, 7) == 1);
+    }
+    SECTION("and the peer with the newest version does not answer")
+    {
+        CHECK(hear(9100ms, 2, 8) == 1);
+        CHECK(hear(9500ms, 1, 7) == 1);
+        CHECK(hear(10'200ms, 1, 7) == 2);
+    }
+}
