Place waiting tasks in a class of their own

TaskPlacer now holds the pass, the choice of the worker, the creation of the start messages and the factor for remote data; the dispatcher passes in the state that a pass changes. Callers see no change.

--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -1,7 +1,7 @@
 #include "core/rundispatcher.h"
 
 #include "core/dispatchlog.h"
-#include "core/unplacedneeds.h"
+
 #include <algorithm>
 
 namespace Bluebellquay {
@@ -10,9 +10,6 @@
 
 // 2 ms. A longer delay would let less urgent tasks be placed first.
 constexpr Duration ReturnedOrderRetryDelay{2'000};
-// Run numbers skipped after each returned order: the worker may know higher numbers of the task
-// from an earlier home.
-constexpr std::uint64_t ReturnedOrderRunSkip = 32;
 // 100 ms. Interval between checks whether a task under which a worker has crashed must still wait:
 // the few workers of a confined queue are kept for other tasks.
 constexpr Duration CrashedTaskDelay{100'000};
@@ -32,7 +29,8 @@
 RunDispatcher::RunDispatcher(RunDispatcherSettings settings)
     : m_settings(std::move(settings))
     , m_refusal(m_settings.overload)
-    , m_jitterSeed(m_settings.seed)
+    , m_placer({m_settings.dataCentre, m_settings.remoteDataFactor, m_settings.reservedDeviations,
+                m_settings.choice, m_settings.seed})
 { }
 
 void RunDispatcher::submit(TimePoint now, CallId call, KeyedJobSpec spec, const QueueRule &rule,
@@ -134,99 +132,13 @@
 void RunDispatcher::dispatch(TimePoint now, DispatchOutbox &out)
 {
     m_isolation.advance(now);
-    Batches batches;
-    // By queue where the queues of a service are kept apart, so that each waits for other workers.
-    std::map<std::string_view, UnplacedNeeds> unplacedByQueue;
-    const WaitingTasks::Queue &queue = m_waiting.queue();
-    for (auto position = queue.begin(); position != queue.end();) {
-        const TaskRef ref = (position++)->second;
-        KeyedJob &job = m_jobs.at(ref.job);
-        const KeyedTask &task = job.tasks[ref.step][ref.index];
-        const KeyedStep &step = job.spec.steps[ref.step];
-        const bool divided = m_isolation.divided(job.rule.service);
-        UnplacedNeeds &unplaced =
-            unplacedByQueue[divided ? std::string_view(job.rule.name) : std::string_view()];
-        if (unplaced.enough() && !divided)
-            break;
-        if (unplaced.enough() || unplaced.cannotPlace(job.rule.service, step.need)) {
-            unplaced.count();
-            continue;
-        }
-        const std::vector<Incarnation> excluded = agentsAtLimit(job, ref.step);
-        const UrgentReserve reserve =
-            m_demand.reserve(now, job.rule, m_workers, m_isolation, m_settings.reservedDeviations);
-        const bool exclusive = m_isolation.mustRunAlone(job.rule.service, job.rule.name);
-        const PlacementRequest request{job,
-                                       step,
-                                       job.estimate.runTimes[ref.step],
-                                       m_settings.remoteDataFactor,
-                                       excluded,
-                                       m_settings.dataCentre,
-                                       reserve,
-                                       task.avoidedAgent,
-                                       m_isolation,
-                                       exclusive,
-                                       ++m_jitterSeed};
-        const std::optional<Placement> placement = m_settings.choice.choose(m_workers, request);
-        if (!placement) {
-            if (step.runsOnAnyWorker() && !exclusive)
-                unplaced.add(job.rule.service, step.need);
-            unplaced.count();
-            continue;
-        }
-        m_waiting.remove(job, ref);
-        order(now, job, ref, *placement, batches);
-    }
+    auto messages =
+        m_placer.place(now, {m_jobs, m_waiting, m_workers, m_runsAtAgents, m_demand, m_isolation});
     m_waiting.noteIfEmpty(now);
-    for (auto &[target, message] : batches)
-        out.messages.emplace_back(std::get<Incarnation>(target), std::move(message));
-}
-
-Duration RunDispatcher::expectedRunTime(const KeyedJob &job, std::uint32_t step,
-                                        bool dataIsRemote) const
-{
-    const double factor = dataIsRemote ? m_settings.remoteDataFactor : 1;
-    return std::chrono::duration_cast<Duration>(job.estimate.runTimes[step] * factor);
-}
-
-Duration RunDispatcher::localDataRunTime(const KeyedTask &task, Duration runTime) const
-{
-    const double factor = task.dataIsRemote ? m_settings.remoteDataFactor : 1;
-    return std::chrono::duration_cast<Duration>(runTime / factor);
-}
-
-void RunDispatcher::order(TimePoint now, KeyedJob &job, const TaskRef &ref,
-                          const Placement &placement, Batches &batches)
-{
-    const Incarnation agent = placement.agent;
-    KeyedTask &task = job.tasks[ref.step][ref.index];
-    const KeyedStep &step = job.spec.steps[ref.step];
-    task.phase = TaskPhase::Ordered;
-    task.agent = agent;
-    task.dataIsRemote = placement.dataIsRemote;
-    task.workerCrashed = false;
-    // Run numbers of a task increase. The job's lastRun keeps them above those of earlier homes and
-    // of earlier submissions under the same key.
-    const std::uint64_t skipped = task.returnedOrders * ReturnedOrderRunSkip;
-    task.run = RunNumber(std::max(task.run, job.lastRun).value() + 1 + skipped);
-    if (job.ordersSent++ == 0)
-        job.firstOrderAt = now;
-    ++job.openRuns;
-    ++m_statistics.orders;
-    m_runsAtAgents.add(agent, RunKey{ref.job, ref.step, ref.index, task.run});
-
-    StartRuns &message = batches[{agent, ref.job, ref.step}];
-    if (message.orders.empty()) {
-        message.job = ref.job;
-        message.step = ref.step;
-        message.payload = job.spec.payload;
-        message.need = step.need;
-        message.priority = job.rule.priority;
-        message.timeLeft = std::max(job.objective - now, Duration(0));
+    for (auto &[agent, message] : messages) {
+        m_statistics.orders += message.orders.size();
+        out.messages.emplace_back(agent, std::move(message));
     }
-    message.orders.push_back({ref.index, task.run, m_workers.recordOrder(agent, step.need),
-                              expectedRunTime(job, ref.step, placement.dataIsRemote),
-                              placement.keepFree});
 }
 
 void RunDispatcher::callerLeft(TimePoint now, CallId call, DispatchOutbox &out)
@@ -419,7 +331,7 @@
     case RunResult::Done:
         task->phase = TaskPhase::Done;
         --job.tasksLeft;
-        m_forecast.record(job, ref.step, localDataRunTime(*task, ended.runTime));
+        m_forecast.record(job, ref.step, m_placer.localDataRunTime(*task, ended.runTime));
         break;
     case RunResult::Failed:
         ++task->failures;
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -15,6 +15,7 @@
 #include "core/keyedjob.h"
 #include "core/queueloads.h"
 #include "core/runsatagents.h"
+#include "core/taskplacer.h"
 #include "core/timerheap.h"
 #include "core/urgentdemand.h"
 #include "core/waitingtasks.h"
@@ -22,13 +23,10 @@
 #include "core/workerregistry.h"
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
-#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -178,8 +176,6 @@
         TaskRef task;
         Incarnation agent;
     };
-    // Start messages of one scheduling pass, by agent, job and step.
-    using Batches = std::map<std::tuple<Incarnation, JobKey, std::uint32_t>, StartRuns>;
 
     // Returns the task whose current run this is; null if the run is not current or not at this
     // agent.
@@ -192,13 +188,6 @@
     void makeReady(TimePoint now, const KeyedJob &job, std::uint32_t step, std::uint32_t index);
     // Runs a scheduling pass: places waiting tasks on workers, in the order of their ranks.
     void dispatch(TimePoint now, DispatchOutbox &out);
-    // Expected run time on a worker of ordinary speed, in or outside the rack of the task's data.
-    Duration expectedRunTime(const KeyedJob &job, std::uint32_t step, bool dataIsRemote) const;
-    // Converts a measured run time to the run time in the rack of the task's data.
-    Duration localDataRunTime(const KeyedTask &task, Duration runTime) const;
-    // Adds the order for a placed task to its batch.
-    void order(TimePoint now, KeyedJob &job, const TaskRef &ref, const Placement &placement,
-               Batches &batches);
     // Handles the end of a run. Ends of runs that are not at this agent are ignored.
     void runEnded(TimePoint now, const EndedRun &ended, Incarnation agent, DispatchOutbox &out);
     // The agent has reported that its worker is gone. Its runs are over when their ends are
@@ -243,13 +232,12 @@
     JobForecast m_forecast;
     UrgentDemand m_demand;
     JobRefusal m_refusal;
+    TaskPlacer m_placer;
     CrashIsolation m_isolation;
     CrashHistory m_crashes;
     QueueLoads m_queueLoads;
     std::unordered_map<JobKey, KeyedJob> m_jobs;
     std::unordered_map<CallId, JobKey> m_calls;
-    // Seed of the jitter of the latest placement; increases by one with each placement.
-    std::uint64_t m_jitterSeed = 0;
     WaitingTasks m_waiting;
     RunsAtAgents m_runsAtAgents;
     TimerHeap<Timer> m_timers;
