Keep the jobs of a home and the calls for them in a class of their own

The dispatcher kept the map of the jobs and the map of the calls in step in seven of its functions. JobTable now does: it joins calls to jobs and successors, removes them, finds the task of a run, and removes a job when its last run has ended. Two loops that removed the waiting tasks of a job were the same and became WaitingTasks::removeAll. Callers see no change.

--- a/source/core/jobrefusal.h
+++ b/source/core/jobrefusal.h
@@ -5,19 +5,18 @@
 
 #include "base/answer.h"
 #include "core/crashisolation.h"
+#include "core/jobtable.h"
 #include "core/overloadrule.h"
 #include "core/urgentdemand.h"
 #include "core/waitingtasks.h"
 #include "core/workerregistry.h"
 
-#include <unordered_map>
-
 namespace Bluebellquay {
 
 // What a home knows when it decides.
 struct HomeLoad
 {
-    const std::unordered_map<JobKey, KeyedJob> &jobs;
+    const JobTable::Jobs &jobs;
     const WaitingTasks &waiting;
     const WorkerRegistry &workers;
     const UrgentDemand &demand;
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -38,20 +38,11 @@
 {
     ++m_statistics.jobsSubmitted;
     const TimePoint deadline = now + timeout.value_or(m_settings.defaultTimeout);
-    const auto known = m_jobs.find(spec.key);
-    if (known != m_jobs.end()) {
-        m_calls[call] = spec.key;
-        KeyedJob &job = known->second;
-        if (!job.released) {
-            job.calls.push_back(call);
-            job.deadline = std::max(job.deadline, deadline);
-            m_timers.schedule(deadline, Timer{TimerKind::Deadline, {spec.key, 0, 0}, {}});
-            return;
-        }
-        if (!job.successor)
-            job.successor = KeyedJob::Successor{std::move(spec), rule, {}, now, deadline};
-        job.successor->calls.push_back(call);
-        return;
+    if (KeyedJob *known = m_jobs.find(spec.key)) {
+        if (known->released)
+            return m_jobs.follow(*known, {std::move(spec), rule, {}, now, deadline}, call);
+        m_timers.schedule(deadline, Timer{TimerKind::Deadline, {spec.key, 0, 0}, {}});
+        return m_jobs.join(*known, call, deadline);
     }
     KeyedJob job;
     job.spec = std::move(spec);
@@ -77,7 +68,6 @@
         out.answers.push_back({call, endedWith(Outcome::Failed, Reason::FailsEverywhere)});
         return;
     }
-    m_calls[call] = key;
     addJob(now, std::move(job));
     dispatch(now, out);
     KeyedJob &opened = m_jobs.at(key);
@@ -87,9 +77,8 @@
 
 void RunDispatcher::addJob(TimePoint now, KeyedJob opened)
 {
-    const JobKey key = opened.spec.key;
-    KeyedJob &job = m_jobs[key];
-    job = std::move(opened);
+    KeyedJob &job = m_jobs.add(std::move(opened));
+    const JobKey key = job.spec.key;
     const Duration criticalPath = job.estimate.criticalPath;
     const auto slack = std::chrono::duration_cast<Duration>(criticalPath * job.rule.slackFactor);
     const Duration objective = slack + job.rule.allowance;
@@ -143,35 +132,24 @@
 
 void RunDispatcher::callerLeft(TimePoint now, CallId call, DispatchOutbox &out)
 {
-    const auto position = m_calls.find(call);
-    if (position == m_calls.end())
-        return;
-    const JobKey key = position->second;
-    m_calls.erase(position);
-    KeyedJob &job = m_jobs.at(key);
-    std::erase(job.calls, call);
-    if (job.successor) {
-        std::erase(job.successor->calls, call);
-        if (job.successor->calls.empty())
-            job.successor.reset();
-    }
-    if (!job.calls.empty() || job.released)
+    KeyedJob *abandoned = m_jobs.leave(call);
+    if (abandoned == nullptr)
         return;
     ++m_statistics.jobsAbandoned;
-    release(job, out);
+    const JobKey key = abandoned->spec.key;
+    release(*abandoned, out);
     removeIfDrained(now, key, out);
     dispatch(now, out);
 }
 
 bool RunDispatcher::cancel(TimePoint now, JobKey key, DispatchOutbox &out)
 {
-    const auto position = m_jobs.find(key);
-    if (position == m_jobs.end())
+    KeyedJob *job = m_jobs.find(key);
+    if (job == nullptr)
         return false;
-    KeyedJob &job = position->second;
-    if (!job.released) {
-        const bool begun = job.ordersSent > 0;
-        finish(now, job,
+    if (!job->released) {
+        const bool begun = job->ordersSent > 0;
+        finish(now, *job,
                begun ? endedWith(Outcome::Failed, Reason::Cancelled)
                      : endedWith(Outcome::NotRun, Reason::CancelledBeforeStart),
                out);
@@ -183,24 +161,19 @@
 void RunDispatcher::handle(TimePoint now, Incarnation entry, const ReleaseJob &message,
                            DispatchOutbox &out)
 {
-    const auto position = m_jobs.find(message.job);
-    if (position == m_jobs.end()) {
+    KeyedJob *job = m_jobs.find(message.job);
+    if (job == nullptr) {
         out.messages.emplace_back(entry, JobReleased{message.number, false});
         return;
     }
-    position->second.releaseRequests.emplace_back(entry, message.number);
+    job->releaseRequests.emplace_back(entry, message.number);
     cancel(now, message.job, out);
     removeIfDrained(now, message.job, out);
 }
 
 void RunDispatcher::abandonAll(TimePoint now, DispatchOutbox &out)
 {
-    std::vector<JobKey> keys;
-    for (const auto &[key, job] : m_jobs) {
-        if (!job.released)
-            keys.push_back(key);
-    }
-    for (const JobKey key : keys) {
+    for (const JobKey key : m_jobs.unreleased()) {
         KeyedJob &job = m_jobs.at(key);
         finish(now, job, endedWith(Outcome::Unknown, Reason::HomeSilent), out);
         removeIfDrained(now, key, out);
@@ -217,12 +190,7 @@
 
 void RunDispatcher::refuseHopelessJobs(TimePoint now, DispatchOutbox &out)
 {
-    std::vector<JobKey> waiting;
-    for (const auto &[key, job] : m_jobs) {
-        if (!job.released && job.ordersSent == 0)
-            waiting.push_back(key);
-    }
-    for (const JobKey key : waiting)
+    for (const JobKey key : m_jobs.unstarted())
         refuseIfHopeless(now, m_jobs.at(key), out);
 }
 
@@ -292,31 +260,17 @@
 void RunDispatcher::markRuns(Incarnation agent, bool workerCrashed)
 {
     for (const RunKey &run : m_runsAtAgents.at(agent)) {
-        if (KeyedTask *task = findTask(run, agent))
+        if (KeyedTask *task = m_jobs.findTask(run, agent))
             task->workerCrashed = workerCrashed;
     }
 }
 
-KeyedTask *RunDispatcher::findTask(const RunKey &run, Incarnation agent)
-{
-    const auto position = m_jobs.find(run.job);
-    if (position == m_jobs.end())
-        return nullptr;
-    auto &tasks = position->second.tasks;
-    if (run.step >= tasks.size() || run.index >= tasks[run.step].size())
-        return nullptr;
-    KeyedTask &task = tasks[run.step][run.index];
-    const bool current =
-        task.phase == TaskPhase::Ordered && task.run == run.run && task.agent == agent;
-    return current ? &task : nullptr;
-}
-
 void RunDispatcher::runEnded(TimePoint now, const EndedRun &ended, Incarnation agent,
                              DispatchOutbox &out)
 {
     if (!m_runsAtAgents.remove(agent, ended.run))
         return;
-    KeyedTask *task = findTask(ended.run, agent);
+    KeyedTask *task = m_jobs.findTask(ended.run, agent);
     if (task == nullptr)
         return;
     KeyedJob &job = m_jobs.at(ended.run.job);
@@ -396,45 +350,30 @@
 {
     logJobEnded(job, answer, now, m_waiting.size(), m_workers.records().size());
     m_statistics.count(answer.outcome);
-    for (const CallId call : job.calls) {
-        m_calls.erase(call);
+    for (const CallId call : m_jobs.takeCalls(job))
         out.answers.push_back({call, answer});
-    }
-    job.calls.clear();
     release(job, out);
 }
 
 void RunDispatcher::release(KeyedJob &job, DispatchOutbox &out)
 {
     job.released = true;
-    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
-        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-            if (job.tasks[step][index].phase == TaskPhase::Ready)
-                m_waiting.remove(job, TaskRef{job.spec.key, step, index});
-        }
-    }
+    m_waiting.removeAll(job);
     for (auto &[agent, message] : runsToStop(job))
         out.messages.emplace_back(agent, std::move(message));
 }
 
 void RunDispatcher::removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out)
 {
-    const auto position = m_jobs.find(key);
-    if (position == m_jobs.end())
-        return;
-    KeyedJob &job = position->second;
-    if (!job.released || job.openRuns > 0)
+    std::optional<JobTable::Drained> drained = m_jobs.removeIfDrained(key);
+    if (!drained)
         return;
-    for (const auto &[entry, number] : job.releaseRequests)
+    for (const auto &[entry, number] : drained->releaseRequests)
         out.messages.emplace_back(entry, JobReleased{number, true});
-    std::optional<KeyedJob::Successor> next = std::move(job.successor);
-    const RunNumber highest = highestRun(job);
-    m_jobs.erase(position);
-    if (!next)
+    if (!drained->successor)
         return;
-    KeyedJob successor = makeSuccessorJob(std::move(*next), highest);
-    m_forecast.apply(successor);
-    addJob(now, std::move(successor));
+    m_forecast.apply(*drained->successor);
+    addJob(now, std::move(*drained->successor));
 }
 
 void RunDispatcher::advance(TimePoint now, DispatchOutbox &out)
@@ -448,10 +387,10 @@
                 expireAgent(now, timer->agent, out);
             continue;
         }
-        const auto position = m_jobs.find(timer->task.job);
-        if (position == m_jobs.end() || position->second.released)
+        KeyedJob *found = m_jobs.find(timer->task.job);
+        if (found == nullptr || found->released)
             continue;
-        KeyedJob &job = position->second;
+        KeyedJob &job = *found;
         if (timer->kind == TimerKind::TaskReady) {
             KeyedTask &task = job.tasks[timer->task.step][timer->task.index];
             if (task.phase == TaskPhase::Delayed) {
@@ -490,13 +429,7 @@
     if (refuseIfHopeless(now, job, out))
         return;
     const JobKey key = job.spec.key;
-    std::vector<TaskRef> waiting;
-    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
-        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-            if (m_waiting.remove(job, TaskRef{key, step, index}))
-                waiting.push_back({key, step, index});
-        }
-    }
+    const std::vector<TaskRef> waiting = m_waiting.removeAll(job);
     job.rank = m_settings.order.rank(now, job);
     for (const TaskRef &ref : waiting)
         makeReady(now, job, ref.step, ref.index);
@@ -522,15 +455,6 @@
     return true;
 }
 
-std::size_t RunDispatcher::pending(const std::string &queue) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &item) {
-            const KeyedJob &job = item.second;
-            return !job.released && job.ordersSent == 0 && job.rule.name == queue;
-        }));
-}
-
 std::set<std::string> RunDispatcher::missingLabels() const
 {
     std::set<std::string> missing;
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -12,6 +12,7 @@
 #include "core/jobforecast.h"
 #include "core/joborder.h"
 #include "core/jobrefusal.h"
+#include "core/jobtable.h"
 #include "core/keyedjob.h"
 #include "core/queueloads.h"
 #include "core/runsatagents.h"
@@ -27,7 +28,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -156,8 +156,8 @@
     std::optional<TimePoint> nextWakeup() const { return m_timers.next(); }
 
     // Number of jobs of the queue for which no order has been sent.
-    std::size_t pending(const std::string &queue) const;
-    std::size_t openJobs() const { return m_calls.size(); }
+    std::size_t pending(const std::string &queue) const { return m_jobs.unstarted(queue); }
+    std::size_t openJobs() const { return m_jobs.calls(); }
     std::size_t jobs() const { return m_jobs.size(); }
     bool anyWorker() const { return m_workers.anyReported(); }
     // Labels that waiting tasks require and that no linked worker has. Contains AcceleratorLabel if
@@ -177,9 +177,6 @@
         Incarnation agent;
     };
 
-    // Returns the task whose current run this is; null if the run is not current or not at this
-    // agent.
-    KeyedTask *findTask(const RunKey &run, Incarnation agent);
     // Adds a job to the queue: computes its objective and rank, and schedules its timers.
     void addJob(TimePoint now, KeyedJob opened);
     // Queues the tasks of all steps whose dependencies are done.
@@ -224,7 +221,7 @@
     {
         return m_refusal.answer(now, job, reason, load());
     }
-    HomeLoad load() const { return {m_jobs, m_waiting, m_workers, m_demand, m_isolation}; }
+    HomeLoad load() const { return {m_jobs.all(), m_waiting, m_workers, m_demand, m_isolation}; }
 
     RunDispatcherSettings m_settings;
     RunDispatcherStatistics m_statistics;
@@ -236,8 +233,7 @@
     CrashIsolation m_isolation;
     CrashHistory m_crashes;
     QueueLoads m_queueLoads;
-    std::unordered_map<JobKey, KeyedJob> m_jobs;
-    std::unordered_map<CallId, JobKey> m_calls;
+    JobTable m_jobs;
     WaitingTasks m_waiting;
     RunsAtAgents m_runsAtAgents;
     TimerHeap<Timer> m_timers;
--- a/source/core/taskplacer.h
+++ b/source/core/taskplacer.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "core/crashisolation.h"
-#include "core/keyedjob.h"
+#include "core/jobtable.h"
 #include "core/runsatagents.h"
 #include "core/urgentdemand.h"
 #include "core/waitingtasks.h"
@@ -17,7 +17,6 @@
 #include <string>
 #include <string_view>
 #include <tuple>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -41,7 +40,7 @@
 // State of a home that a scheduling pass changes, and the state that it only reads.
 struct PlacementState
 {
-    std::unordered_map<JobKey, KeyedJob> &jobs;
+    JobTable &jobs;
     WaitingTasks &waiting;
     WorkerRegistry &workers;
     RunsAtAgents &runsAtAgents;
--- a/source/core/waitingtasks.h
+++ b/source/core/waitingtasks.h
@@ -6,10 +6,12 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Bluebellquay {
 
@@ -44,6 +46,20 @@
         return waited;
     }
 
+    // Removes all tasks of the job. Returns those that waited, in ascending order.
+    std::vector<TaskRef> removeAll(const KeyedJob &job)
+    {
+        std::vector<TaskRef> removed;
+        for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
+            for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+                const TaskRef task{job.spec.key, step, index};
+                if (remove(job, task))
+                    removed.push_back(task);
+            }
+        }
+        return removed;
+    }
+
     const Queue &queue() const { return m_queue; }
     std::size_t size() const { return m_queue.size(); }
 
