Compute the times of a job, and which agents were replaced, outside the dispatcher

The dispatcher computed a job's objective, latest start and start timeout where it added the job, and searched the unlinked agents for earlier incarnations itself. Callers see no change.

--- a/source/core/keyedjob.cpp
+++ b/source/core/keyedjob.cpp
@@ -113,6 +113,22 @@
     return highest;
 }
 
+void setObjective(KeyedJob &job, double waitingShare)
+{
+    const Duration criticalPath = job.estimate.criticalPath;
+    const auto slack = std::chrono::duration_cast<Duration>(criticalPath * job.rule.slackFactor);
+    const Duration objective = slack + job.rule.allowance;
+    job.objective = job.arrived + objective;
+    const auto spare = std::max(objective - criticalPath, Duration(0));
+    job.latestStart = job.arrived + std::chrono::duration_cast<Duration>(spare * waitingShare);
+}
+
+TimePoint startTimeout(const KeyedJob &job)
+{
+    const TimePoint halfTime = job.arrived + (job.deadline - job.arrived) / 2;
+    return std::min(usefulUntil(job) - job.estimate.criticalPath, halfTime);
+}
+
 TimePoint usefulUntil(const KeyedJob &job)
 {
     const Duration objective = job.objective - job.arrived;
--- a/source/core/keyedjob.h
+++ b/source/core/keyedjob.h
@@ -178,6 +178,14 @@
 // Highest run number used for any task of the job.
 RunNumber highestRun(const KeyedJob &job);
 
+// Sets the objective and the latest start of a job that has its estimate. `waitingShare` is the
+// share of its slack (objective minus critical path) that it may spend waiting for a worker.
+void setObjective(KeyedJob &job, double waitingShare);
+
+// Time at which a job that has not started is refused: by half of its time, so that its caller can
+// still submit it elsewhere, and while its result would still be of use.
+TimePoint startTimeout(const KeyedJob &job);
+
 // Time after which the result is of no use to the caller.
 TimePoint usefulUntil(const KeyedJob &job);
 
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -79,13 +79,7 @@
 {
     KeyedJob &job = m_jobs.add(std::move(opened));
     const JobKey key = job.spec.key;
-    const Duration criticalPath = job.estimate.criticalPath;
-    const auto slack = std::chrono::duration_cast<Duration>(criticalPath * job.rule.slackFactor);
-    const Duration objective = slack + job.rule.allowance;
-    job.objective = job.arrived + objective;
-    const auto spare = std::max(objective - criticalPath, Duration(0));
-    job.latestStart =
-        job.arrived + std::chrono::duration_cast<Duration>(spare * m_settings.waitingShare);
+    setObjective(job, m_settings.waitingShare);
     job.rank = m_settings.order.rank(now, job);
     m_waiting.noteIfEmpty(now);
     m_demand.arrived(now, job);
@@ -94,13 +88,9 @@
     for (const KeyedStep &step : job.spec.steps)
         job.tasks.emplace_back(step.tasks);
     makeReadySteps(now, job);
-    // A job that has not started by half of its time is refused, so that its caller can still
-    // submit it elsewhere.
-    const TimePoint halfTime = job.arrived + (job.deadline - job.arrived) / 2;
-    const TimePoint startTimeout =
-        std::max(now, std::min(usefulUntil(job) - criticalPath, halfTime));
     m_timers.schedule(job.latestStart, Timer{TimerKind::Late, {key, 0, 0}, {}});
-    m_timers.schedule(startTimeout, Timer{TimerKind::StartTimeout, {key, 0, 0}, {}});
+    m_timers.schedule(std::max(now, startTimeout(job)),
+                      Timer{TimerKind::StartTimeout, {key, 0, 0}, {}});
     m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
 }
 
@@ -108,16 +98,10 @@
 {
     for (const std::uint32_t step : unblockSteps(job)) {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index)
-            makeReady(now, job, step, index);
+            m_waiting.add(now, job, {job.spec.key, step, index});
     }
 }
 
-void RunDispatcher::makeReady(TimePoint now, const KeyedJob &job, std::uint32_t step,
-                              std::uint32_t index)
-{
-    m_waiting.add(now, job, TaskRef{job.spec.key, step, index});
-}
-
 void RunDispatcher::dispatch(TimePoint now, DispatchOutbox &out)
 {
     m_isolation.advance(now);
@@ -221,12 +205,7 @@
         markRuns(agent, false);
         // A settled worker runs nothing that an earlier incarnation of its agent started, so the
         // runs of that incarnation are over.
-        std::vector<Incarnation> replaced;
-        for (const Incarnation other : m_workers.unlinked()) {
-            if (other != agent && m_workers.find(other)->agent.name == record->agent.name)
-                replaced.push_back(other);
-        }
-        for (const Incarnation incarnation : replaced)
+        for (const Incarnation incarnation : m_workers.replacedBy(agent))
             expireAgent(now, incarnation, out);
     }
     dispatch(now, out);
@@ -343,7 +322,7 @@
         return;
     }
     task.phase = TaskPhase::Ready;
-    makeReady(now, job, ref.step, ref.index);
+    m_waiting.add(now, job, ref);
 }
 
 void RunDispatcher::finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out)
@@ -432,7 +411,7 @@
     const std::vector<TaskRef> waiting = m_waiting.removeAll(job);
     job.rank = m_settings.order.rank(now, job);
     for (const TaskRef &ref : waiting)
-        makeReady(now, job, ref.step, ref.index);
+        m_waiting.add(now, job, ref);
     m_timers.schedule(now + LateCheckInterval, Timer{TimerKind::Late, {key, 0, 0}, {}});
 }
 
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -181,8 +181,6 @@
     void addJob(TimePoint now, KeyedJob opened);
     // Queues the tasks of all steps whose dependencies are done.
     void makeReadySteps(TimePoint now, KeyedJob &job);
-    // Queues one task for placement.
-    void makeReady(TimePoint now, const KeyedJob &job, std::uint32_t step, std::uint32_t index);
     // Runs a scheduling pass: places waiting tasks on workers, in the order of their ranks.
     void dispatch(TimePoint now, DispatchOutbox &out);
     // Handles the end of a run. Ends of runs that are not at this agent are ignored.
--- a/source/core/workerregistry.cpp
+++ b/source/core/workerregistry.cpp
@@ -91,6 +91,17 @@
     return position == m_records.end() ? nullptr : &position->second;
 }
 
+std::vector<Incarnation> WorkerRegistry::replacedBy(Incarnation agent) const
+{
+    const std::string &name = m_records.at(agent).agent.name;
+    std::vector<Incarnation> replaced;
+    for (const Incarnation other : m_unlinked) {
+        if (other != agent && m_records.at(other).agent.name == name)
+            replaced.push_back(other);
+    }
+    return replaced;
+}
+
 void WorkerRegistry::addMissingLabels(const std::string &service, const KeyedStep &step,
                                       std::set<std::string> &missing) const
 {
--- a/source/core/workerregistry.h
+++ b/source/core/workerregistry.h
@@ -102,8 +102,9 @@
     // Whether any linked agent has reported its worker.
     bool anyReported() const;
     const Records &records() const { return m_records; }
-    // Agents without a link that have not been removed yet.
-    const std::set<Incarnation> &unlinked() const { return m_unlinked; }
+    // Earlier incarnations of the same agent that have no link and have not been removed yet. The
+    // agent must be known.
+    std::vector<Incarnation> replacedBy(Incarnation agent) const;
     // Adds to `missing` the labels, and AcceleratorLabel, that the step requires and no worker of
     // the service has.
     void addMissingLabels(const std::string &service, const KeyedStep &step,
