Keep the runs of an agent and their capacity in a class of their own

The tracker kept its map of runs, the queue of waiting ones, the held capacity and two counts in step in four functions. TrackedRuns now does, so this can be tested without messages and timers. Callers see no change.

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -98,13 +98,13 @@
         if (position == m_runs.end())
             adoptForeignRun(now, key, account.askedAt, out);
         else if (position->second.state == RunState::Ordered)
-            confirm(now, position->second);
+            position->second.confirm(now);
         if (position != m_runs.end())
             position->second.listed = true;
     }
     for (auto position = m_runs.begin(); position != m_runs.end();) {
         const auto current = position++;
-        Run &run = current->second;
+        TrackedRun &run = current->second;
         if (running.contains(current->first))
             continue;
         // The worker lists a run as running until it lists its end. So a run that is not listed
@@ -113,12 +113,11 @@
         // A confirmed run that is neither running nor listed as ended was forgotten by the worker.
         const bool forgotten = run.state == RunState::Running && account.askedAt > run.confirmed;
         if (stopped)
-            end(now, current,
-                run.home == Incarnation() ? RunResult::Stopped : RunResult::NotStarted, out);
+            end(now, current, run.foreign() ? RunResult::Stopped : RunResult::NotStarted, out);
         else if (forgotten && account.unreadable == 0)
             end(now, current, RunResult::Lost, out);
     }
-    m_mayRenewLease = m_mayRenewLease || m_foreignRuns == 0;
+    m_mayRenewLease = m_mayRenewLease || m_runs.foreignRuns() == 0;
     if (now >= m_nextStandstillCheck) {
         m_nextStandstillCheck = now + StandstillCheckInterval;
         checkStandstill(now, out);
@@ -133,7 +132,7 @@
     const auto position = m_runs.find(key);
     if (position == m_runs.end() || position->second.state == RunState::Waiting)
         return;
-    Run &run = position->second;
+    TrackedRun &run = position->second;
     if (answer == StartAnswer::NoAnswer) {
         ++m_statistics.startsUnanswered;
         if (run.state == RunState::Ordered && run.attempts.givenUp(now))
@@ -144,7 +143,7 @@
     m_statistics.startsNotSent += answer == StartAnswer::NotSent ? 1 : 0;
     if (answer == StartAnswer::Accepted) {
         if (run.state == RunState::Ordered)
-            confirm(now, run);
+            run.confirm(now);
         return;
     }
     if (answer == StartAnswer::Unhealthy)
@@ -179,12 +178,6 @@
     reportRooms(now, out);
 }
 
-bool RunTracker::holdsRunsOf(Incarnation home) const
-{
-    return std::any_of(m_runs.begin(), m_runs.end(),
-                       [home](const auto &item) { return item.second.home == home; });
-}
-
 void RunTracker::handle(TimePoint now, Incarnation home, const StartRuns &message, RunOutbox &out)
 {
     for (const RunOrder &order : message.orders) {
@@ -198,7 +191,7 @@
             continue;
         ++m_statistics.ordersReceived;
         m_statistics.ordersEvacuated += m_evacuated ? 1 : 0;
-        Run run;
+        TrackedRun run;
         run.home = home;
         run.need = message.need;
         run.keepFree = order.keepFree;
@@ -206,9 +199,7 @@
         run.rank = {message.priority, now + message.timeLeft};
         run.received = now;
         run.payload = message.payload;
-        m_waiting.emplace(run.rank, key);
-        m_waitingMilliProcessors += run.need.milliProcessors;
-        m_runs.emplace(key, std::move(run));
+        m_runs.addWaiting(key, std::move(run));
         scheduleCheck(now + m_settings.longestWait);
     }
     if (m_reports.retired(home))
@@ -332,7 +323,8 @@
         m_reports.tellDue(now, describeRoom(now), out.messages);
         return;
     }
-    for (auto position = m_waiting.begin(); position != m_waiting.end();) {
+    const TrackedRuns::Waiting &waiting = m_runs.waiting();
+    for (auto position = waiting.begin(); position != waiting.end();) {
         const auto run = m_runs.find((position++)->second);
         if (now >= run->second.received + m_settings.longestWait)
             end(now, run, RunResult::NotStarted, out);
@@ -343,18 +335,13 @@
 
 bool RunTracker::accepting(TimePoint now) const
 {
-    return m_worker && m_listingReceived && !m_silent && m_foreignRuns == 0 && !m_worker->draining
-        && !m_stopping && !m_evacuated && !m_watch.suspended(now);
+    return m_worker && m_listingReceived && !m_silent && m_runs.foreignRuns() == 0
+        && !m_worker->draining && !m_stopping && !m_evacuated && !m_watch.suspended(now);
 }
 
 ResourceNeed RunTracker::freeRoom() const
 {
-    if (!m_worker)
-        return {};
-    ResourceNeed free = m_held.freeOf(m_worker->room);
-    free.milliProcessors = static_cast<std::uint32_t>(
-        without<std::uint64_t>(free.milliProcessors, m_waitingMilliProcessors));
-    return free;
+    return m_worker ? m_runs.freeOf(m_worker->room) : ResourceNeed();
 }
 
 void RunTracker::startWaiting(TimePoint now, RunOutbox &out)
@@ -362,13 +349,16 @@
     if (!accepting(now))
         return;
     int looked = 0;
-    for (auto position = m_waiting.begin(); position != m_waiting.end() && looked < LookAhead;) {
+    const TrackedRuns::Waiting &waiting = m_runs.waiting();
+    for (auto position = waiting.begin(); position != waiting.end() && looked < LookAhead;) {
         const auto run = m_runs.find((position++)->second);
-        if (!m_held.fits(run->second.need, run->second.keepFree, m_worker->room)) {
+        if (!m_runs.fits(run->second, m_worker->room)) {
             ++looked;
             continue;
         }
-        start(now, run, out);
+        m_runs.start(now, run);
+        ++m_statistics.started;
+        sendStart(now, run->first, run->second, out);
         if (m_watch.onProbation()) {
             m_watch.probeStarted();
             return returnWaiting(now, out);
@@ -376,19 +366,7 @@
     }
 }
 
-void RunTracker::start(TimePoint now, Runs::iterator position, RunOutbox &out)
-{
-    Run &run = position->second;
-    m_waiting.erase({run.rank, position->first});
-    m_waitingMilliProcessors -= run.need.milliProcessors;
-    m_held.hold(run.need);
-    run.state = RunState::Ordered;
-    run.started = now;
-    ++m_statistics.started;
-    sendStart(now, position->first, run, out);
-}
-
-void RunTracker::sendStart(TimePoint now, const RunKey &key, Run &run, RunOutbox &out)
+void RunTracker::sendStart(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out)
 {
     run.attempts.sent(now);
     out.starts.push_back({key, run.payload});
@@ -406,15 +384,7 @@
     sendStart(now, key, position->second, out);
 }
 
-void RunTracker::confirm(TimePoint now, Run &run)
-{
-    run.state = RunState::Running;
-    run.confirmed = now;
-    run.attempts.begun();
-    run.payload.clear();
-}
-
-void RunTracker::requestStop(TimePoint now, const RunKey &key, Run &run, RunOutbox &out)
+void RunTracker::requestStop(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out)
 {
     if (run.state == RunState::Stopping)
         return;
@@ -422,7 +392,7 @@
     sendStop(now, key, run, out);
 }
 
-void RunTracker::sendStop(TimePoint now, const RunKey &key, Run &run, RunOutbox &out)
+void RunTracker::sendStop(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out)
 {
     out.stops.push_back({key});
     const Duration interval =
@@ -430,21 +400,17 @@
     m_timers.schedule(now + interval, Timer{TimerKind::RepeatStop, key});
 }
 
-void RunTracker::end(TimePoint now, Runs::iterator position, RunResult how, RunOutbox &out)
+void RunTracker::end(TimePoint now, TrackedRuns::Runs::iterator position, RunResult how,
+                     RunOutbox &out)
 {
     const RunKey key = position->first;
-    const Run run = std::move(position->second);
-    m_runs.erase(position);
+    const TrackedRun run = m_runs.remove(position);
     EndedRun ended{key, how, Duration(0)};
     if (run.state == RunState::Waiting) {
-        m_waiting.erase({run.rank, key});
-        m_waitingMilliProcessors -= run.need.milliProcessors;
         ++m_statistics.ordersReturned;
-    } else if (run.home == Incarnation()) {
-        --m_foreignRuns;
+    } else if (run.foreign()) {
         return;
     } else {
-        m_held.release(run.need);
         ended.runTime = std::max(now - run.started, Duration(0));
         const bool suspendedBefore = m_watch.onProbation();
         m_watch.ended(now, key.job, how, ended.runTime, run.expected);
@@ -469,30 +435,19 @@
 {
     while (!m_runs.empty()) {
         const auto position = m_runs.begin();
-        const bool waiting = position->second.state == RunState::Waiting;
-        end(now, position, waiting ? RunResult::NotStarted : lostOrStopped(position->second), out);
+        end(now, position, position->second.resultWithoutWorker(), out);
     }
 }
 
-RunResult RunTracker::lostOrStopped(const Run &run)
-{
-    return run.confirmed > TimePoint() ? RunResult::Lost : RunResult::Stopped;
-}
-
 void RunTracker::returnWaiting(TimePoint now, RunOutbox &out)
 {
-    while (!m_waiting.empty())
-        end(now, m_runs.find(m_waiting.begin()->second), RunResult::NotStarted, out);
+    while (!m_runs.waiting().empty())
+        end(now, m_runs.find(m_runs.waiting().begin()->second), RunResult::NotStarted, out);
 }
 
 void RunTracker::checkStandstill(TimePoint now, RunOutbox &out)
 {
-    std::vector<OngoingRun> ongoing;
-    for (const auto &[key, run] : m_runs) {
-        if (run.state == RunState::Running)
-            ongoing.push_back({key.job, run.started, run.expected});
-    }
-    if (!standsStill(ongoing, m_watch, m_lastListing))
+    if (!standsStill(m_runs.ongoing(), m_watch, m_lastListing))
         return;
     ++m_statistics.standstills;
     suspend(now, "standstill", out);
@@ -518,12 +473,7 @@
 
 void RunTracker::logUnavailable(TimePoint now, std::string_view reason) const
 {
-    std::vector<StartedRun> started;
-    for (const auto &[key, run] : m_runs) {
-        if (run.state != RunState::Waiting)
-            started.emplace_back(run.started, key);
-    }
-    logWorkerUnavailable(now, workerName(), reason, std::move(started));
+    logWorkerUnavailable(now, workerName(), reason, m_runs.started());
 }
 
 void RunTracker::replaceWorker(TimePoint now, RunOutbox &out)
@@ -536,17 +486,18 @@
     m_watch = WorkerHealth();
     for (auto position = m_runs.begin(); position != m_runs.end();) {
         const auto current = position++;
-        Run &run = current->second;
+        TrackedRun &run = current->second;
         if (run.state == RunState::Waiting)
             end(now, current, RunResult::NotStarted, out);
-        else if ((run.listed && !run.attempts.anyUnresolved()) || run.home == Incarnation())
+        else if ((run.listed && !run.attempts.anyUnresolved()) || run.foreign())
             end(now, current, RunResult::Lost, out);
         else
             stopOnReplacedWorker(now, current->first, run, out);
     }
 }
 
-void RunTracker::stopOnReplacedWorker(TimePoint now, const RunKey &key, Run &run, RunOutbox &out)
+void RunTracker::stopOnReplacedWorker(TimePoint now, const RunKey &key, TrackedRun &run,
+                                      RunOutbox &out)
 {
     // A stop that the earlier worker confirmed does not bind the new one.
     run.stopConfirmed.reset();
@@ -559,14 +510,7 @@
 {
     if (m_retainedEnds.endedSince(key, askedAt))
         return;
-    Run run;
-    run.started = now;
-    confirm(now, run);
-    const auto [position, inserted] = m_runs.emplace(key, std::move(run));
-    if (!inserted)
-        return;
-    ++m_foreignRuns;
-    requestStop(now, key, position->second, out);
+    requestStop(now, key, m_runs.addForeign(now, key), out);
 }
 
 void RunTracker::reportRooms(TimePoint now, RunOutbox &out)
@@ -581,7 +525,7 @@
 {
     WorkerRoom room;
     room.accepting = accepting(now);
-    room.settled = m_listingReceived && m_foreignRuns == 0;
+    room.settled = m_listingReceived && m_runs.foreignRuns() == 0;
     if (!m_worker)
         return room;
     room.service = m_worker->service;
@@ -589,10 +533,8 @@
     room.total = m_worker->room;
     room.free = freeRoom();
     room.probation = m_watch.onProbation();
-    const std::uint64_t held = m_held.milliProcessors();
-    const std::uint64_t wanted = held + m_waitingMilliProcessors;
-    room.overcommittedMilliProcessors =
-        static_cast<std::uint32_t>(without<std::uint64_t>(wanted, room.total.milliProcessors));
+    room.overcommittedMilliProcessors = static_cast<std::uint32_t>(
+        without<std::uint64_t>(m_runs.wantedMilliProcessors(), room.total.milliProcessors));
     room.slowdownPermille = static_cast<std::uint32_t>(m_watch.slowdown() * 1000);
     return room;
 }
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -12,20 +12,15 @@
 
 #include "base/messages.h"
 #include "core/capacityreporter.h"
-#include "core/heldcapacity.h"
 #include "core/retainedends.h"
-#include "core/startattempts.h"
 #include "core/timerheap.h"
+#include "core/trackedruns.h"
 #include "core/workercalls.h"
 #include "core/workerhealth.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <set>
-#include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -103,7 +98,7 @@
     // A retired home keeps its runs, but no order of it is accepted any more. Its link is closed
     // when the runs have ended.
     void retireHome(TimePoint now, Incarnation home, bool retired, RunOutbox &out);
-    bool holdsRunsOf(Incarnation home) const;
+    bool holdsRunsOf(Incarnation home) const { return m_runs.anyOf(home); }
     void handle(TimePoint now, Incarnation home, const StartRuns &message, RunOutbox &out);
     void handle(TimePoint now, Incarnation home, const StopRuns &message, RunOutbox &out);
     void handle(TimePoint now, Incarnation home, const RunsAtAgent &message, RunOutbox &out);
@@ -142,62 +137,22 @@
     double slowdown() const { return m_watch.slowdown(); }
 
 private:
-    enum class RunState : std::uint8_t {
-        Waiting,  // waits for capacity; no start has been sent
-        Ordered,  // the start has been sent
-        Running,  // the worker has confirmed it
-        Stopping, // a stop has been sent; it may run, or may never start
-    };
-    using WaitingRank = std::pair<std::uint32_t, TimePoint>;
-    struct Run
-    {
-        // Zero if a previous incarnation of this agent started it.
-        Incarnation home;
-        RunState state = RunState::Waiting;
-        ResourceNeed need;
-        // Processors, in thousandths, that must stay free when it starts.
-        std::uint32_t keepFree = 0;
-        Duration expected{0};
-        // Priority of its queue, and the time by which its job should be done; orders the waiting
-        // runs.
-        WaitingRank rank;
-        TimePoint received;
-        TimePoint started;
-        // When the worker confirmed that it runs. Listings that were requested earlier may lack the
-        // run, because answers on different connections overtake each other.
-        TimePoint confirmed;
-        // A listing of the present worker has contained it.
-        bool listed = false;
-        StartAttempts attempts;
-        unsigned stopsSent = 0;
-        // When the worker confirmed a stop. A listing that was requested later and lacks the run
-        // proves its end.
-        std::optional<TimePoint> stopConfirmed;
-        // Kept until the worker has confirmed the run, so that the start can be repeated.
-        std::string payload;
-    };
     enum class TimerKind : std::uint8_t { Check, RepeatStart, RepeatStop, ForgetEnd };
     struct Timer
     {
         TimerKind kind;
         RunKey run;
     };
-    using Runs = std::map<RunKey, Run>;
 
     void startWaiting(TimePoint now, RunOutbox &out);
-    void start(TimePoint now, Runs::iterator position, RunOutbox &out);
-    void sendStart(TimePoint now, const RunKey &key, Run &run, RunOutbox &out);
+    void sendStart(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out);
     // The start has had no answer for a while: sends it again, or gives it up.
     void repeatStart(TimePoint now, const RunKey &key, RunOutbox &out);
-    static void confirm(TimePoint now, Run &run);
-    void requestStop(TimePoint now, const RunKey &key, Run &run, RunOutbox &out);
+    void requestStop(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out);
     // Sends a stop and schedules its repetition, until the worker confirms it.
-    void sendStop(TimePoint now, const RunKey &key, Run &run, RunOutbox &out);
-    void end(TimePoint now, Runs::iterator position, RunResult how, RunOutbox &out);
+    void sendStop(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out);
+    void end(TimePoint now, TrackedRuns::Runs::iterator position, RunResult how, RunOutbox &out);
     void endAll(TimePoint now, RunOutbox &out);
-    // How a run has ended whose worker is gone. One that the worker has not confirmed may have been
-    // refused, so it does not count as lost with the worker.
-    static RunResult lostOrStopped(const Run &run);
     void returnWaiting(TimePoint now, RunOutbox &out);
     // Returns the orders of the message that still wait. With keepPatient, those whose home lets
     // them wait stay.
@@ -214,7 +169,7 @@
     // The worker was replaced by another one. Runs that the earlier one is known to have run are
     // lost. Other started runs may have reached the new one and are stopped there.
     void replaceWorker(TimePoint now, RunOutbox &out);
-    void stopOnReplacedWorker(TimePoint now, const RunKey &key, Run &run, RunOutbox &out);
+    void stopOnReplacedWorker(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out);
     void reportRooms(TimePoint now, RunOutbox &out);
     WorkerRoom describeRoom(TimePoint now) const;
     void scheduleCheck(TimePoint at) { m_timers.schedule(at, Timer{TimerKind::Check, {}}); }
@@ -235,15 +190,7 @@
     TimePoint m_lastListing{};
     TimePoint m_nextStandstillCheck{};
     WorkerHealth m_watch;
-    Runs m_runs;
-    // Waiting runs in the order in which they should start; each is in m_runs.
-    std::set<std::pair<WaitingRank, RunKey>> m_waiting;
-    // By all runs that are not waiting.
-    HeldCapacity m_held;
-    // Sum of the processors of all waiting runs.
-    std::uint64_t m_waitingMilliProcessors = 0;
-    // Runs of previous incarnations of this agent, whose need is unknown.
-    std::uint32_t m_foreignRuns = 0;
+    TrackedRuns m_runs;
     RetainedEnds m_retainedEnds;
     CapacityReporter m_reports;
     TimerHeap<Timer> m_timers;
--- /dev/null
+++ b/source/core/trackedruns.cpp
@@ -0,0 +1,98 @@
+#include "core/trackedruns.h"
+
+#include <algorithm>
+
+namespace Bluebellquay {
+
+void TrackedRun::confirm(TimePoint now)
+{
+    state = RunState::Running;
+    confirmed = now;
+    attempts.begun();
+    payload.clear();
+}
+
+RunResult TrackedRun::resultWithoutWorker() const
+{
+    if (state == RunState::Waiting)
+        return RunResult::NotStarted;
+    return confirmed > TimePoint() ? RunResult::Lost : RunResult::Stopped;
+}
+
+bool TrackedRuns::anyOf(Incarnation home) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(),
+                       [home](const auto &item) { return item.second.home == home; });
+}
+
+void TrackedRuns::addWaiting(const RunKey &key, TrackedRun run)
+{
+    m_waiting.emplace(run.rank, key);
+    m_waitingMilliProcessors += run.need.milliProcessors;
+    m_runs.emplace(key, std::move(run));
+}
+
+TrackedRun &TrackedRuns::addForeign(TimePoint now, const RunKey &key)
+{
+    TrackedRun &run = m_runs[key];
+    run.started = now;
+    run.confirm(now);
+    ++m_foreignRuns;
+    return run;
+}
+
+void TrackedRuns::start(TimePoint now, Runs::iterator position)
+{
+    TrackedRun &run = position->second;
+    m_waiting.erase({run.rank, position->first});
+    m_waitingMilliProcessors -= run.need.milliProcessors;
+    m_held.hold(run.need);
+    run.state = RunState::Ordered;
+    run.started = now;
+}
+
+TrackedRun TrackedRuns::remove(Runs::iterator position)
+{
+    const RunKey key = position->first;
+    TrackedRun run = std::move(position->second);
+    m_runs.erase(position);
+    if (run.state == RunState::Waiting) {
+        m_waiting.erase({run.rank, key});
+        m_waitingMilliProcessors -= run.need.milliProcessors;
+    } else if (run.foreign()) {
+        --m_foreignRuns;
+    } else {
+        m_held.release(run.need);
+    }
+    return run;
+}
+
+ResourceNeed TrackedRuns::freeOf(const ResourceNeed &room) const
+{
+    ResourceNeed free = m_held.freeOf(room);
+    free.milliProcessors = static_cast<std::uint32_t>(
+        without<std::uint64_t>(free.milliProcessors, m_waitingMilliProcessors));
+    return free;
+}
+
+std::vector<StartedRun> TrackedRuns::started() const
+{
+    std::vector<StartedRun> runs;
+    for (const auto &[key, run] : m_runs) {
+        if (run.state != RunState::Waiting)
+            runs.emplace_back(run.started, key);
+    }
+    return runs;
+}
+
+std::vector<OngoingRun> TrackedRuns::ongoing() const
+{
+    std::vector<OngoingRun> runs;
+    for (const auto &[key, run] : m_runs) {
+        if (run.state == RunState::Running)
+            runs.push_back({key.job, run.started, run.expected});
+    }
+    return runs;
+}
+
+} // namespace Bluebellquay
--- /dev/null
+++ b/source/core/trackedruns.h
@@ -0,0 +1,125 @@
+// The runs that one agent knows: those that wait for capacity of its worker, in the order in which
+// they should start, and those that have been started, with the capacity that they hold. A started
+// run holds its capacity until it is removed.
+#pragma once
+
+#include "base/messages.h"
+#include "core/heldcapacity.h"
+#include "core/standstill.h"
+#include "core/startattempts.h"
+#include "core/trackerlog.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Bluebellquay {
+
+enum class RunState : std::uint8_t {
+    Waiting,  // waits for capacity; no start has been sent
+    Ordered,  // the start has been sent
+    Running,  // the worker has confirmed it
+    Stopping, // a stop has been sent; it may run, or may never start
+};
+
+// Order of the waiting runs: priority of the queue, zero first, then the time by which the job
+// should be done.
+using WaitingRank = std::pair<std::uint32_t, TimePoint>;
+
+struct TrackedRun
+{
+    // Zero if a previous incarnation of the agent started the run.
+    Incarnation home;
+    RunState state = RunState::Waiting;
+    ResourceNeed need;
+    // Processors, in thousandths, that must stay free when it starts.
+    std::uint32_t keepFree = 0;
+    // Expected run time.
+    Duration expected{0};
+    WaitingRank rank;
+    // When the order arrived.
+    TimePoint received;
+    TimePoint started;
+    // When the worker confirmed that it runs. Listings that were requested earlier may lack the
+    // run, because answers on different connections overtake each other.
+    TimePoint confirmed;
+    // A listing of the present worker has contained it.
+    bool listed = false;
+    StartAttempts attempts;
+    unsigned stopsSent = 0;
+    // When the worker confirmed a stop. A listing that was requested later and lacks the run proves
+    // its end.
+    std::optional<TimePoint> stopConfirmed;
+    // Kept until the worker has confirmed the run, so that the start can be repeated.
+    std::string payload;
+
+    // Whether a previous incarnation of the agent started the run.
+    bool foreign() const { return home == Incarnation(); }
+    // The worker has confirmed that it runs.
+    void confirm(TimePoint now);
+    // How the run has ended if its worker is gone. One that the worker has not confirmed may have
+    // been refused, so it does not count as lost with the worker.
+    RunResult resultWithoutWorker() const;
+};
+
+class TrackedRuns
+{
+public:
+    using Runs = std::map<RunKey, TrackedRun>;
+    using Waiting = std::set<std::pair<WaitingRank, RunKey>>;
+
+    Runs::iterator begin() { return m_runs.begin(); }
+    Runs::iterator end() { return m_runs.end(); }
+    Runs::iterator find(const RunKey &key) { return m_runs.find(key); }
+    bool contains(const RunKey &key) const { return m_runs.contains(key); }
+    bool empty() const { return m_runs.empty(); }
+    std::size_t size() const { return m_runs.size(); }
+    bool anyOf(Incarnation home) const;
+    // In the order in which they should start.
+    const Waiting &waiting() const { return m_waiting; }
+
+    // Adds a run that waits for capacity.
+    void addWaiting(const RunKey &key, TrackedRun run);
+    // Adds a run that a previous incarnation of the agent started; its need is unknown. The run
+    // must not be known yet.
+    TrackedRun &addForeign(TimePoint now, const RunKey &key);
+    // The waiting run is started: it holds its capacity from now on.
+    void start(TimePoint now, Runs::iterator position);
+    // Removes the run, with the capacity that it holds or waits for, and returns it.
+    TrackedRun remove(Runs::iterator position);
+
+    // Whether the waiting run could start on a worker with this total capacity.
+    bool fits(const TrackedRun &run, const ResourceNeed &room) const
+    {
+        return m_held.fits(run.need, run.keepFree, room);
+    }
+    // Part of this total capacity that neither started nor waiting runs take.
+    ResourceNeed freeOf(const ResourceNeed &room) const;
+    // Processors, in thousandths, that started runs hold and waiting runs need.
+    std::uint64_t wantedMilliProcessors() const
+    {
+        return m_held.milliProcessors() + m_waitingMilliProcessors;
+    }
+    // Number of runs that a previous incarnation of the agent started.
+    std::uint32_t foreignRuns() const { return m_foreignRuns; }
+    std::vector<StartedRun> started() const;
+    // Runs that the worker has confirmed, and that are not being stopped.
+    std::vector<OngoingRun> ongoing() const;
+
+private:
+    Runs m_runs;
+    // Each is in m_runs.
+    Waiting m_waiting;
+    // By all runs that are neither waiting nor foreign.
+    HeldCapacity m_held;
+    // Sum of the processors of all waiting runs.
+    std::uint64_t m_waitingMilliProcessors = 0;
+    std::uint32_t m_foreignRuns = 0;
+};
+
+} // namespace Bluebellquay
