Send and repeat the calls to a worker in a class of their own

Start and stop calls, their repetition and what an answer says of the run made up a sixth of the run tracker. RunCalls holds them, with timers of its own; RunOutbox has a header, as the other outboxes have. Callers see no change.

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Delay from an unanswered stop to its first repetition, doubled with each further one.
-constexpr Duration FirstStopRepeat{20'000};
-constexpr unsigned LongestStopRepeatShift = 3;
 constexpr Duration StandstillCheckInterval{20'000};
 // Number of waiting orders that do not fit before the search for one that fits ends.
 constexpr int LookAhead = 8;
@@ -133,23 +130,10 @@
     if (position == m_runs.end() || position->second.state == RunState::Waiting)
         return;
     TrackedRun &run = position->second;
-    if (answer == StartAnswer::NoAnswer) {
-        ++m_statistics.startsUnanswered;
-        if (run.state == RunState::Ordered && run.attempts.givenUp(now))
-            requestStop(now, key, run, out);
-        return;
-    }
-    run.attempts.settled();
-    m_statistics.startsNotSent += answer == StartAnswer::NotSent ? 1 : 0;
-    if (answer == StartAnswer::Accepted) {
-        if (run.state == RunState::Ordered)
-            run.confirm(now);
-        return;
-    }
+    const bool refused = m_calls.startRefused(now, key, run, answer, m_statistics, out);
     if (answer == StartAnswer::Unhealthy)
         suspend(now, "unhealthy", out);
-    // While another call may have been carried out, only a listing shows whether the run started.
-    if (!run.attempts.allRefused())
+    if (!refused)
         return;
     end(now, position, RunResult::NotStarted, out);
     startWaiting(now, out);
@@ -159,12 +143,8 @@
 void RunTracker::stopAnswered(TimePoint now, const RunKey &key, bool answered, RunOutbox &out)
 {
     const auto position = m_runs.find(key);
-    if (position == m_runs.end() || position->second.state != RunState::Stopping || !answered)
-        return;
-    if (position->second.stopConfirmed)
-        return;
-    position->second.stopConfirmed = now;
-    out.look = true;
+    if (answered && position != m_runs.end())
+        m_calls.stopConfirmed(now, position->second, out);
 }
 
 void RunTracker::homeUp(Incarnation home)
@@ -234,7 +214,7 @@
         if (position->second.state == RunState::Waiting)
             end(now, position, RunResult::NotStarted, out);
         else
-            requestStop(now, key, position->second, out);
+            m_calls.requestStop(now, key, position->second, out);
     }
     startWaiting(now, out);
     reportRooms(now, out);
@@ -266,7 +246,7 @@
         if (current->second.state == RunState::Waiting)
             end(now, current, RunResult::NotStarted, out);
         else
-            requestStop(now, current->first, current->second, out);
+            m_calls.requestStop(now, current->first, current->second, out);
     }
     startWaiting(now, out);
     reportRooms(now, out);
@@ -276,7 +256,7 @@
 {
     for (auto &[key, run] : m_runs) {
         if (run.state == RunState::Ordered)
-            requestStop(now, key, run, out);
+            m_calls.requestStop(now, key, run, out);
     }
 }
 
@@ -300,24 +280,12 @@
 void RunTracker::advance(TimePoint now, RunOutbox &out)
 {
     bool check = false;
+    m_calls.advance(now, m_runs, m_statistics, out);
     while (const std::optional<Timer> timer = m_timers.popDue(now)) {
-        switch (timer->kind) {
-        case TimerKind::Check:
+        if (timer->kind == TimerKind::Check)
             check = true;
-            break;
-        case TimerKind::ForgetEnd:
+        else
             m_retainedEnds.forget(timer->run);
-            break;
-        case TimerKind::RepeatStart:
-            repeatStart(now, timer->run, out);
-            break;
-        case TimerKind::RepeatStop: {
-            const auto position = m_runs.find(timer->run);
-            if (position != m_runs.end() && !position->second.stopConfirmed)
-                sendStop(now, timer->run, position->second, out);
-            break;
-        }
-        }
     }
     if (!check) {
         m_reports.tellDue(now, describeRoom(now), out.messages);
@@ -358,7 +326,7 @@
         }
         m_runs.start(now, run);
         ++m_statistics.started;
-        sendStart(now, run->first, run->second, out);
+        m_calls.sendStart(now, run->first, run->second, out);
         if (m_watch.onProbation()) {
             m_watch.probeStarted();
             return returnWaiting(now, out);
@@ -366,40 +334,6 @@
     }
 }
 
-void RunTracker::sendStart(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out)
-{
-    run.attempts.sent(now);
-    out.starts.push_back({key, run.payload});
-    m_timers.schedule(now + StartAttempts::RepeatInterval, Timer{TimerKind::RepeatStart, key});
-}
-
-void RunTracker::repeatStart(TimePoint now, const RunKey &key, RunOutbox &out)
-{
-    const auto position = m_runs.find(key);
-    if (position == m_runs.end() || position->second.state != RunState::Ordered)
-        return;
-    if (position->second.attempts.givenUp(now))
-        return requestStop(now, key, position->second, out);
-    ++m_statistics.startsRepeated;
-    sendStart(now, key, position->second, out);
-}
-
-void RunTracker::requestStop(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out)
-{
-    if (run.state == RunState::Stopping)
-        return;
-    run.state = RunState::Stopping;
-    sendStop(now, key, run, out);
-}
-
-void RunTracker::sendStop(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out)
-{
-    out.stops.push_back({key});
-    const Duration interval =
-        FirstStopRepeat * (1U << std::min(run.stopsSent++, LongestStopRepeatShift));
-    m_timers.schedule(now + interval, Timer{TimerKind::RepeatStop, key});
-}
-
 void RunTracker::end(TimePoint now, TrackedRuns::Runs::iterator position, RunResult how,
                      RunOutbox &out)
 {
@@ -453,7 +387,7 @@
     suspend(now, "standstill", out);
     for (auto &[key, run] : m_runs) {
         if (run.state == RunState::Running)
-            requestStop(now, key, run, out);
+            m_calls.requestStop(now, key, run, out);
     }
 }
 
@@ -492,25 +426,16 @@
         else if ((run.listed && !run.attempts.anyUnresolved()) || run.foreign())
             end(now, current, RunResult::Lost, out);
         else
-            stopOnReplacedWorker(now, current->first, run, out);
+            m_calls.stopOnReplacedWorker(now, current->first, run, out);
     }
 }
 
-void RunTracker::stopOnReplacedWorker(TimePoint now, const RunKey &key, TrackedRun &run,
-                                      RunOutbox &out)
-{
-    // A stop that the earlier worker confirmed does not bind the new one.
-    run.stopConfirmed.reset();
-    run.state = RunState::Stopping;
-    sendStop(now, key, run, out);
-}
-
 void RunTracker::adoptForeignRun(TimePoint now, const RunKey &key, TimePoint askedAt,
                                  RunOutbox &out)
 {
     if (m_retainedEnds.endedSince(key, askedAt))
         return;
-    requestStop(now, key, m_runs.addForeign(now, key), out);
+    m_calls.requestStop(now, key, m_runs.addForeign(now, key), out);
 }
 
 void RunTracker::reportRooms(TimePoint now, RunOutbox &out)
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -13,6 +13,8 @@
 #include "base/messages.h"
 #include "core/capacityreporter.h"
 #include "core/retainedends.h"
+#include "core/runcalls.h"
+#include "core/runoutbox.h"
 #include "core/timerheap.h"
 #include "core/trackedruns.h"
 #include "core/workercalls.h"
@@ -26,16 +28,6 @@
 
 namespace Bluebellquay {
 
-// Effects of calls into RunTracker; the calling process carries them out in order.
-struct RunOutbox
-{
-    std::vector<std::pair<Incarnation, Message>> messages;
-    std::vector<WorkerStart> starts;
-    std::vector<WorkerStop> stops;
-    // Whether to ask the worker for a run listing at once.
-    bool look = false;
-};
-
 struct RunTrackerSettings
 {
     // An order that has waited this long for capacity is returned to its home, which may know a
@@ -45,15 +37,13 @@
     Duration endRetention{8'000'000};
 };
 
-struct RunTrackerStatistics
+// Counters since the start of the process.
+struct RunTrackerStatistics : RunCallStatistics
 {
     std::uint64_t ordersReceived = 0;
     std::uint64_t ordersReturned = 0;
     std::uint64_t ordersEvacuated = 0;
     std::uint64_t started = 0;
-    std::uint64_t startsUnanswered = 0;
-    std::uint64_t startsRepeated = 0;
-    std::uint64_t startsNotSent = 0;
     std::uint64_t workerRefusals = 0;
     std::uint64_t workerSilences = 0;
     std::uint64_t leasesExpired = 0;
@@ -123,7 +113,7 @@
     void advance(TimePoint now, RunOutbox &out);
     std::optional<TimePoint> nextWakeup() const
     {
-        return earliest(m_timers.next(), m_reports.nextDue());
+        return earliest(earliest(m_timers.next(), m_calls.nextWakeup()), m_reports.nextDue());
     }
 
     bool accepting(TimePoint now) const;
@@ -137,7 +127,7 @@
     double slowdown() const { return m_watch.slowdown(); }
 
 private:
-    enum class TimerKind : std::uint8_t { Check, RepeatStart, RepeatStop, ForgetEnd };
+    enum class TimerKind : std::uint8_t { Check, ForgetEnd };
     struct Timer
     {
         TimerKind kind;
@@ -145,12 +135,6 @@
     };
 
     void startWaiting(TimePoint now, RunOutbox &out);
-    void sendStart(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out);
-    // The start has had no answer for a while: sends it again, or gives it up.
-    void repeatStart(TimePoint now, const RunKey &key, RunOutbox &out);
-    void requestStop(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out);
-    // Sends a stop and schedules its repetition, until the worker confirms it.
-    void sendStop(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out);
     void end(TimePoint now, TrackedRuns::Runs::iterator position, RunResult how, RunOutbox &out);
     void endAll(TimePoint now, RunOutbox &out);
     void returnWaiting(TimePoint now, RunOutbox &out);
@@ -169,7 +153,6 @@
     // The worker was replaced by another one. Runs that the earlier one is known to have run are
     // lost. Other started runs may have reached the new one and are stopped there.
     void replaceWorker(TimePoint now, RunOutbox &out);
-    void stopOnReplacedWorker(TimePoint now, const RunKey &key, TrackedRun &run, RunOutbox &out);
     void reportRooms(TimePoint now, RunOutbox &out);
     WorkerRoom describeRoom(TimePoint now) const;
     void scheduleCheck(TimePoint at) { m_timers.schedule(at, Timer{TimerKind::Check, {}}); }
@@ -191,6 +174,7 @@
     TimePoint m_nextStandstillCheck{};
     WorkerHealth m_watch;
     TrackedRuns m_runs;
+    RunCalls m_calls;
     RetainedEnds m_retainedEnds;
     CapacityReporter m_reports;
     TimerHeap<Timer> m_timers;
