--- a/tests/dispatch/heavyloadtest.cpp
+++ b/tests/dispatch/heavyloadtest.cpp
@@ -183,7 +183,9 @@
             submitFor(site, 4, 1, 1s);
         }
         site.run(3s);
-        CHECK(site.violations() == std::vector<std::string>{});
+        const std::vector<std::string> violations = site.violations();
+        CAPTURE(violations);
+        CHECK(violations.empty());
     }
 }
 
