--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -107,6 +107,20 @@
     until([&] { return evacuations.dataCentres().empty(); });
 }
 
+TEST_CASE_METHOD(StoreFixture,
+                 "a key of any characters at the end of a page does not end the reading")
+{
+    for (const std::string key : {"a&b=1", "c#d", "e%41", "f g", "h+i", "j\"k", "l\xc3\xbc", "z"})
+        store.put("op", key, "one");
+    const std::size_t rows = GENERATE(1, 2, 3);
+    store.setPageRows(rows);
+    watch.start();
+    until([&] { return watch.connected(); });
+    CHECK(values.size() == 8);
+    store.put("op", "z", "two");
+    until([&] { return values["z"] == "two"; });
+}
+
 // Seen on maras-coop, quiet-1: all entries had read the store before its first change, at version
 // zero, and served nobody.
 TEST_CASE_METHOD(StoreFixture, "a store without any change says that nothing is evacuated")
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace Bluebellquay::Testing {
@@ -28,16 +29,35 @@
     return bytes;
 }
 
+std::string percentDecode(std::string_view text)
+{
+    std::string decoded;
+    for (; !text.empty(); text.remove_prefix(1)) {
+        unsigned byte = 0;
+        constexpr int HexBase = 16;
+        if (text.size() > 2 && text[0] == '%'
+            && std::from_chars(text.data() + 1, text.data() + 3, byte, HexBase).ptr
+                == text.data() + 3) {
+            decoded.push_back(static_cast<char>(byte));
+            text.remove_prefix(2);
+        } else {
+            decoded.push_back(text[0] == '+' ? ' ' : text[0]);
+        }
+    }
+    return decoded;
+}
+
 std::map<std::string, std::string> parseQuery(std::string_view target)
 {
     std::map<std::string, std::string> query;
     const std::size_t mark = target.find('?');
     std::string_view rest = mark == std::string_view::npos ? "" : target.substr(mark + 1);
+    rest = rest.substr(0, rest.find('#'));
     while (!rest.empty()) {
         const std::string_view pair = rest.substr(0, rest.find('&'));
         const std::size_t equals = pair.find('=');
         if (equals != std::string_view::npos)
-            query[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
+            query[std::string(pair.substr(0, equals))] = percentDecode(pair.substr(equals + 1));
         rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
     }
     return query;
@@ -101,7 +121,7 @@
     const std::string path = request.target.substr(0, request.target.find('?'));
     const auto table = query.find("table");
     if (path == "/v1/rows-get" && table != query.end())
-        return get(table->second, exchange);
+        return get(query, exchange);
     if (path == "/v1/rows-feed" && table != query.end())
         return feed(query, exchange);
     if (path == "/v1/rows-tx")
@@ -109,10 +129,23 @@
     exchange->respond({404, {}, {}});
 }
 
-void PlatformStore::get(const std::string &table, const std::shared_ptr<HttpExchange> &exchange)
+void PlatformStore::get(const std::map<std::string, std::string> &query,
+                        const std::shared_ptr<HttpExchange> &exchange)
 {
     bool any = false;
-    respond(exchange, 200, changes(table, 0, any));
+    nlohmann::json answer = nlohmann::json::parse(changes(query.at("table"), 0, any));
+    const auto from = query.find("from");
+    nlohmann::json page = nlohmann::json::array();
+    for (const nlohmann::json &row : answer["rows"]) {
+        if (from != query.end() && row["key"].get<std::string>() < from->second)
+            continue;
+        answer["hasMore"] = page.size() == m_pageRows;
+        if (page.size() == m_pageRows)
+            break;
+        page.push_back(row);
+    }
+    answer["rows"] = page;
+    respond(exchange, 200, answer.dump());
 }
 
 std::string PlatformStore::changes(const std::string &table, std::uint64_t after, bool &any) const
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -32,6 +32,8 @@
     // Feeds show the row as removed.
     void remove(const std::string &table, const std::string &key);
     void setMode(StoreMode mode) { m_mode = mode; }
+    // Rows of one answer to a whole read.
+    void setPageRows(std::size_t rows) { m_pageRows = rows; }
     void setDelay(Duration delay) { m_delay = delay; }
     void setLostAnswers(double share) { m_lostAnswers = share; }
     // Feeds that ask for changes before now are told that the history is gone.
@@ -55,7 +57,8 @@
 
     void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     void serve(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
-    void get(const std::string &table, const std::shared_ptr<HttpExchange> &exchange);
+    void get(const std::map<std::string, std::string> &query,
+             const std::shared_ptr<HttpExchange> &exchange);
     void feed(const std::map<std::string, std::string> &query,
               const std::shared_ptr<HttpExchange> &exchange);
     void transact(const std::string &body, const std::shared_ptr<HttpExchange> &exchange);
@@ -67,6 +70,7 @@
     std::mt19937_64 m_random;
     std::unique_ptr<HttpServer> m_server;
     StoreMode m_mode = StoreMode::Serving;
+    std::size_t m_pageRows = 500;
     Duration m_delay{0};
     double m_lostAnswers = 0;
     std::uint64_t m_version = 0;
