Follow a worker on after an announcement with a number that is too large

Callers would see one worker less until its agent is started again: an announcement of another writer with a huge `born` or `sequence` made the agent take all later announcements of the true worker for late, and none brought it back.

Numbers that can't be true name no worker now: `born` up to the year 2200, `sequence` up to 2^32. The clock of the machine is no bound, since it may be set back. A `born` in the near future is accepted, but as long as no worker has answered as that life, an announcement of an earlier one replaces it.

--- /dev/null
+++ b/tests/platform/foreigndatatest.cpp
@@ -0,0 +1,56 @@
+// Guards against data of other writers: an odd entry names nothing to use, and the reader follows
+// the others on.
+#include "platform/advertisement.h"
+#include "platform/announcementorder.h"
+#include "platform/configdocument.h"
+#include "platform/jobdocument.h"
+#include "platform/workerdocument.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace Bluebellquay;
+using namespace Bluebellquay::Platform;
+
+namespace {
+
+std::string announcement(const std::string &born, const std::string &sequence,
+                         const std::string &address = "10.0.0.1:80")
+{
+    return R"({"service":"s","address":")" + address
+        + R"(","state":"ready","freeCapacity":{"cpu":16000,"memMb":32768,"gpu":0},"born":)" + born
+        + R"(,"sequence":)" + sequence + '}';
+}
+
+bool namesWorker(const std::string &body)
+{
+    std::string reason;
+    return decodeAnnouncement("i-1", body, reason).has_value();
+}
+
+} // namespace
+
+TEST_CASE("an announcement with a number that is too large does not make later ones count as late")
+{
+    CHECK(namesWorker(announcement("1700000000000", "4")));
+    for (const char *number : {"9007199254740993", "18446744073709551615", "1e300", "1e999",
+                               "123456789012345678901234567890", "10000000000000"}) {
+        CHECK_FALSE(namesWorker(announcement(number, "4")));
+        CHECK_FALSE(namesWorker(announcement("1700000000000", number)));
+    }
+    CHECK_FALSE(namesWorker(announcement("1700000000000", "-1")));
+}
+
+TEST_CASE("a start announced in the future does not end the following of the worker that answers")
+{
+    AnnouncementOrder order;
+    const WorkerIdentity worker{"i-1", 1'700'000'000'000};
+    const WorkerIdentity odd{"i-1", 2'000'000'000'000};
+    CHECK(order.accept(worker, 4, false));
+    CHECK(order.accept(odd, 5, true));
+    CHECK(order.accept(worker, 5, false));
+    CHECK_FALSE(order.accept({"i-1", worker.startedAt - 1}, 90, true));
+    CHECK_FALSE(order.accept(worker, 4, true));
+    CHECK(order.latest() == worker);
+}
