Use no address of a row or an announcement that is not one of a machine

An announcement with port 0, or with an unspecified, multicast or broadcast address, made the agent leave its worker for one that no connection reaches; a row of an entry with such an address was dialled for good, and so was one that only looks like an address ("::1:80"). The parser of settings was used, where port 0 asks for any free port.

parseRemoteEndpoint() is for addresses to connect to.

Evidence: the new test, fifteen addresses. Before the fix it failed, first with "CHECK_FALSE( namesWorker(announcement("1", "4", address)) ) ... !true, address := "10.0.0.1:0"".

--- a/source/config/networkaddress.cpp
+++ b/source/config/networkaddress.cpp
@@ -40,6 +40,19 @@
     return boost::asio::ip::tcp::endpoint(address, *port);
 }
 
+std::optional<boost::asio::ip::tcp::endpoint> parseRemoteEndpoint(std::string_view text)
+{
+    auto endpoint = parseEndpoint(text);
+    if (!endpoint || endpoint->port() == 0)
+        return std::nullopt;
+    const boost::asio::ip::address address = endpoint->address();
+    const bool broadcast =
+        address.is_v4() && address.to_v4() == boost::asio::ip::address_v4::broadcast();
+    if (address.is_unspecified() || address.is_multicast() || broadcast)
+        return std::nullopt;
+    return endpoint;
+}
+
 std::string toString(const boost::asio::ip::tcp::endpoint &endpoint)
 {
     std::ostringstream text;
--- a/source/config/networkaddress.h
+++ b/source/config/networkaddress.h
@@ -12,6 +12,10 @@
 // Returns nothing for a host name, a missing port or a port above 65535. Port 0 is accepted.
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
 
+// As parseEndpoint(), for an address to connect to: nothing also for port 0 and for an address that
+// is not that of one machine (unspecified, multicast or broadcast).
+std::optional<boost::asio::ip::tcp::endpoint> parseRemoteEndpoint(std::string_view text);
+
 std::string toString(const boost::asio::ip::tcp::endpoint &endpoint);
 
 } // namespace Bluebellquay
--- a/tests/platform/foreigndatatest.cpp
+++ b/tests/platform/foreigndatatest.cpp
@@ -54,3 +54,16 @@
     CHECK_FALSE(order.accept(worker, 4, true));
     CHECK(order.latest() == worker);
 }
+
+TEST_CASE("an address to which no connection can be made names no worker and no entry")
+{
+    CHECK(namesWorker(announcement("1", "4", "[fe80::1]:65535")));
+    for (const std::string address :
+         {"10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:4294967376", "0.0.0.0:80",
+          "[::]:80", "224.0.0.1:80", "[ff02::1]:80", "255.255.255.255:80", "::1:80",
+          "[10.0.0.1]:80", "10.0.0.1", "10.0.0.1:80:80", "worker:80", ""}) {
+        CAPTURE(address);
+        CHECK_FALSE(namesWorker(announcement("1", "4", address)));
+        CHECK_FALSE(decodeAdvertisement("edge-1", R"({"peer_address":")" + address + "\"}"));
+    }
+}
