--- a/tests/platform/foreigndatatest.cpp
+++ b/tests/platform/foreigndatatest.cpp
@@ -67,3 +67,20 @@
         CHECK_FALSE(decodeAdvertisement("edge-1", R"({"peer_address":")" + address + "\"}"));
     }
 }
+
+TEST_CASE("a document that is nested very deeply is not read")
+{
+    const std::string deep =
+        R"("extra":)" + std::string(1'000'000, '[') + std::string(1'000'000, ']') + '}';
+    const auto with = [&](std::string document) {
+        return document.replace(document.size() - 1, 1, ',' + deep);
+    };
+    CHECK_FALSE(namesWorker(with(announcement("1", "4"))));
+    CHECK_FALSE(decodeAdvertisement("edge-1", with(R"({"peer_address":"10.0.0.1:80"})")));
+    CHECK_FALSE(decodeConfig(with(R"({"version":1,"routes":[]})")));
+    CHECK_FALSE(decodeRunListing(with(R"({"born":1,"running":[],"ended":[]})")));
+    CHECK(std::holds_alternative<JobRejection>(
+        decodeJob(JobKey(1), with(R"({"bestEffort":true,"steps":[{"count":1}]})"))));
+    CHECK(namesWorker(
+        announcement("1", "4").insert(1, R"("text":"\")" + std::string(100, '[') + "\",")));
+}
