Acknowledge no end whose number is too large to be true

One row of a run listing with a huge number, such as 2^64 - 1, became `lastSeen` of all later calls. A worker forgets all ends up to that number, so the agent would have heard of no later end in that life: the runs are taken for lost, or their room is held.

A number more than a million above the last one acknowledged counts as unreadable now; for an agent that knows no end yet the bound is 2^32.

Evidence: the new test. Before the fix: "CHECK( listing->lastEnd == 59 ) ...  == 59". That a worker of the platform writes such a row was not seen.

--- a/tests/platform/foreigndatatest.cpp
+++ b/tests/platform/foreigndatatest.cpp
@@ -84,3 +84,22 @@
     CHECK(namesWorker(
         announcement("1", "4").insert(1, R"("text":"\")" + std::string(100, '[') + "\",")));
 }
+
+TEST_CASE("an end with an odd number does not make a worker forget later ends")
+{
+    const auto listing = [](std::uint64_t lastEndSeen, const std::string &number) {
+        const auto decoded = decodeRunListing(
+            R"({"born":1,"running":[],"ended":[[59,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[)"
+                + number + R"(,"5c0e7a21d94b36f8.0.1.8",1,"done",""]]})",
+            lastEndSeen);
+        REQUIRE(decoded);
+        CHECK(decoded->ended.size() + decoded->unreadable == 2);
+        return decoded->lastEnd;
+    };
+    for (const char *number : {"18446744073709551615", "9007199254740993", "5000000000", "1e300"})
+        CHECK(listing(0, number) == 59);
+    CHECK(listing(58, "2000000000") == 59);
+    CHECK(listing(58, "60000") == 60'000);
+    // The agent has just started beside a worker that has been at work for long.
+    CHECK(listing(0, "50000000") == 50'000'000);
+}
