--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -183,6 +183,32 @@
 
 } // namespace
 
+TEST_CASE("an end that can't be read and is listed again and again is not asked for without pause")
+{
+    boost::asio::io_context context;
+    TimerService timers(context);
+    HttpServerSettings settings;
+    settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
+    int calls = 0;
+    const auto server =
+        HttpServer::create(
+            context, timers, settings,
+            [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                ++calls;
+                exchange->respond(
+                    {200, R"({"clockMs":5,"running":[],"ended":[["x"]],"born":7})", {}});
+            })
+            .value();
+    WorkerClient client(context, timers, PlatformBounds(), 1,
+                        {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
+                         [](const RunListing &) {}, [] { return true; }, [] {}, [] {}, [] {}});
+    client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
+    for (const TimePoint end = timers.now() + 400ms; timers.now() < end;)
+        context.run_one_for(1ms);
+    CHECK(calls <= 50);
+    CHECK(calls > 5);
+}
+
 TEST_CASE("an agent that starts after its clock was set back still gets its orders carried out")
 {
     for (const std::uint64_t behind : {1U, 2'000U, 60'000U}) {
