Keep the link to an entry when another row has its address, too

Rows of entries stay in the store, so a replaced entry, or another writer's copy of a row, leaves two rows with one address. The process there answers with one name only. The agent took the other one for unreachable after 3 s and gave up its address, which cut the link to the true entry; an entry did so when the other row was removed or changed.

Rows with one address share a connection now: it is given up with the last of them, and once one of them is linked, the others are left out of the plan, so that they take no place of reachable entries.

Evidence: the new test of the entry links.

--- a/source/membership/entrylinks.cpp
+++ b/source/membership/entrylinks.cpp
@@ -102,20 +102,30 @@
 
 void EntryLinks::replan(TimePoint now, EntryLinkOutbox &out)
 {
+    std::set<std::string> linked;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.link)
+            linked.insert(entry.address.address);
+    }
+    const auto reachedAsOther = [&linked](const Entry &entry) {
+        return !entry.link && linked.contains(entry.address.address);
+    };
     std::vector<LinkCandidate> candidates;
     for (const auto &[name, entry] : m_entries) {
+        if (reachedAsOther(entry))
+            continue;
         candidates.push_back({name, entry.address.dataCentre, reachable(now, entry)});
     }
     const std::set<std::string> chosen = m_plan.choose(candidates);
     for (auto &[name, entry] : m_entries) {
-        if (chosen.contains(name) || wantsOurLabels(entry.address))
+        if (chosen.contains(name) || (wantsOurLabels(entry.address) && !reachedAsOther(entry)))
             keepLink(now, entry, out);
         else
             retireLink(now, entry, out);
     }
 }
 
-void EntryLinks::keepLink(TimePoint now, Entry &entry, EntryLinkOutbox &out)
+void EntryLinks::keepLink(TimePoint now, Entry &entry, EntryLinkOutbox &out) const
 {
     if (entry.retiredAt) {
         entry.retiredAt.reset();
@@ -123,12 +133,14 @@
     }
     if (entry.dialed)
         return;
+    const bool connecting = addressDialed(entry.address.address);
     entry.dialed = true;
     entry.unlinkedSince = now;
-    out.dial.push_back(entry.address.address);
+    if (!connecting)
+        out.dial.push_back(entry.address.address);
 }
 
-void EntryLinks::retireLink(TimePoint now, Entry &entry, EntryLinkOutbox &out)
+void EntryLinks::retireLink(TimePoint now, Entry &entry, EntryLinkOutbox &out) const
 {
     if (!entry.dialed || entry.retiredAt)
         return;
@@ -145,7 +157,7 @@
     out.retire.push_back(*entry.link);
 }
 
-void EntryLinks::close(Entry &entry, EntryLinkOutbox &out)
+void EntryLinks::close(Entry &entry, EntryLinkOutbox &out) const
 {
     if (!entry.dialed)
         return;
@@ -153,7 +165,15 @@
     entry.wasLinked = false;
     entry.link.reset();
     entry.retiredAt.reset();
-    out.forget.push_back(entry.address.address);
+    if (!addressDialed(entry.address.address))
+        out.forget.push_back(entry.address.address);
+}
+
+bool EntryLinks::addressDialed(const std::string &address) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
+        return item.second.dialed && item.second.address.address == address;
+    });
 }
 
 } // namespace Bluebellquay
--- a/source/membership/entrylinks.h
+++ b/source/membership/entrylinks.h
@@ -99,9 +99,13 @@
     bool wantsOurLabels(const EntryAddress &entry) const;
     static bool reachable(TimePoint now, const Entry &entry);
     void replan(TimePoint now, EntryLinkOutbox &out);
-    static void keepLink(TimePoint now, Entry &entry, EntryLinkOutbox &out);
-    static void retireLink(TimePoint now, Entry &entry, EntryLinkOutbox &out);
-    static void close(Entry &entry, EntryLinkOutbox &out);
+    void keepLink(TimePoint now, Entry &entry, EntryLinkOutbox &out) const;
+    void retireLink(TimePoint now, Entry &entry, EntryLinkOutbox &out) const;
+    void close(Entry &entry, EntryLinkOutbox &out) const;
+    // Rows of several names may have one address, for example that of a replaced entry. They share
+    // one connection, which lasts as long as one of them is dialled; once it is up, the others are
+    // left out of the plan.
+    bool addressDialed(const std::string &address) const;
 
     LinkPlan m_plan;
     std::set<std::string> m_labels;
--- a/tests/membership/entrylinkstest.cpp
+++ b/tests/membership/entrylinkstest.cpp
@@ -210,6 +210,29 @@
     CHECK_FALSE(agent.isDialed(other));
 }
 
+TEST_CASE("a second row with the address of a linked entry does not cut the link to that entry")
+{
+    Agent agent;
+    for (std::size_t i = 0; i < 12; ++i)
+        agent.appear(i);
+    std::vector<std::size_t> linked;
+    for (std::size_t i = 0; i < 12; ++i) {
+        if (agent.isDialed(i))
+            linked.push_back(i);
+    }
+    for (const std::size_t i : linked) {
+        agent.up(i);
+        EntryAddress copy = Agent::entry(i);
+        copy.name = "copy-" + std::to_string(i);
+        agent.appear(copy);
+    }
+    for (int i = 0; i < 40; ++i) {
+        agent.pass(500ms);
+        for (const std::size_t entry : linked)
+            CHECK(agent.isDialed(entry));
+    }
+}
+
 TEST_CASE("a link that is lost while it is to be closed is dialled again for the last ends")
 {
     Agent agent;
