Answer 502 for a request whose handler throws or lets it go

A caller whose request met an exception in its handler, or whose exchange was released without a response, heard nothing until its own timeout; the session waited on for its end, and no line said so. The exchange was the session itself, so nobody noticed that the handler had let it go.

Handlers now get an object of their own that refers to the session. The exception goes on to the event loop, which logs handler_failed.

--- a/source/net/connectionend.h
+++ b/source/net/connectionend.h
@@ -1,8 +1,9 @@
 // Why the plain HTTP server ended a connection, and how often each reason occurred.
 #pragma once
 
+#include "net/reasoncounts.h"
+
 #include <array>
-#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -71,14 +72,6 @@
     return "session_dropped";
 }
 
-class ConnectionEndCounts
-{
-public:
-    void add(ConnectionEnd end) { ++m_counts[static_cast<std::size_t>(end)]; }
-    std::uint64_t count(ConnectionEnd end) const { return m_counts[static_cast<std::size_t>(end)]; }
-
-private:
-    std::array<std::uint64_t, AllConnectionEnds.size()> m_counts{};
-};
+using ConnectionEndCounts = ReasonCounts<ConnectionEnd, AllConnectionEnds.size()>;
 
 } // namespace Bluebellquay
--- a/source/net/httplistener.h
+++ b/source/net/httplistener.h
@@ -44,6 +44,7 @@
     std::size_t openExchanges = 0;
     std::size_t writing = 0;
     ConnectionEndCounts ends;
+    UnansweredRequestCounts unanswered;
 
 private:
     void startSweeping();
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -48,6 +48,11 @@
     return m_listener->ends;
 }
 
+const UnansweredRequestCounts &HttpServer::unanswered() const
+{
+    return m_listener->unanswered;
+}
+
 bool HttpServer::idle() const
 {
     return m_listener->openExchanges == 0 && m_listener->writing == 0;
--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -6,6 +6,7 @@
 #include "base/coretime.h"
 #include "kernel/timerservice.h"
 #include "net/connectionend.h"
+#include "net/unansweredrequest.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -57,7 +58,9 @@
     std::optional<std::uint32_t> retryAfterSeconds;
 };
 
-// One request that waits for its response. May be answered at once or later, once.
+// One request that waits for its response. May be answered at once or later, once. If the last
+// reference goes without a response, or the handler throws, the server calls back onClosed() and
+// answers 502: the request may have been carried out.
 class HttpExchange
 {
 public:
@@ -67,7 +70,8 @@
     HttpExchange &operator=(const HttpExchange &) = delete;
 
     virtual void respond(HttpResponse response) = 0;
-    // Called once if the client closes the connection before it is answered.
+    // Called once if the request ends before respond() is called: the client closes the connection,
+    // or the handler throws or lets the exchange go.
     virtual void onClosed(std::function<void()> callback) = 0;
 };
 
@@ -91,10 +95,13 @@
     bool idle() const;
     // Connections that have ended, by reason.
     const ConnectionEndCounts &connectionEnds() const;
+    // Requests that the server answered because their handler did not, by reason.
+    const UnansweredRequestCounts &unanswered() const;
     // From now on each response closes its connection; idle connections stay until their next one.
     void closeAfterResponse();
 
 private:
+    class Exchange;
     class Listener;
     class Session;
 
--- a/source/net/httpsession.cpp
+++ b/source/net/httpsession.cpp
@@ -1,7 +1,9 @@
 #include "net/httpsession.h"
 
 #include "kernel/log.h"
+#include "net/httpexchange.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <utility>
@@ -17,6 +19,7 @@
 constexpr unsigned HttpVersion11 = 11;
 // Most requests fit, so that one read takes them whole.
 constexpr std::size_t ReadBytes = 4'096;
+constexpr unsigned StatusBadGateway = 502;
 constexpr const char *RequestIdHeader = "Request-Id";
 
 } // namespace
@@ -83,9 +86,8 @@
 {
     const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
     m_keepAlive = false;
-    m_exchangeOpen = true;
-    ++m_listener->openExchanges;
-    respond(HttpResponse{tooLarge ? 413U : 400U, {}, {}});
+    beginExchange();
+    write(HttpResponse{tooLarge ? 413U : 400U, {}, {}});
 }
 
 void HttpServer::Session::requestRead()
@@ -104,13 +106,66 @@
     request.body = std::move(message.body());
     request.headers = std::move(static_cast<http::fields &>(message.base()));
     enter(Phase::Handling);
-    m_exchangeOpen = true;
-    ++m_listener->openExchanges;
-    m_listener->handle(request, shared_from_this());
+    beginExchange();
+    handle(request);
     if (m_phase == Phase::Handling)
         watchForClose();
 }
 
+void HttpServer::Session::handle(const HttpRequest &request)
+{
+    const std::uint64_t number = m_exchange;
+    try {
+        m_listener->handle(request, std::make_shared<Exchange>(shared_from_this(), number));
+    } catch (...) {
+        // The error itself is logged by the event loop.
+        if (waitsFor(number))
+            answerForHandler(UnansweredRequest::HandlerFailed);
+        throw;
+    }
+}
+
+bool HttpServer::Session::waitsFor(std::uint64_t exchange) const
+{
+    return m_exchangeOpen && exchange == m_exchange;
+}
+
+void HttpServer::Session::beginExchange()
+{
+    m_exchangeOpen = true;
+    ++m_exchange;
+    ++m_listener->openExchanges;
+}
+
+void HttpServer::Session::onClosed(std::uint64_t exchange, std::function<void()> callback)
+{
+    if (waitsFor(exchange))
+        m_closed = std::move(callback);
+}
+
+void HttpServer::Session::exchangeDropped(std::uint64_t exchange)
+{
+    if (!waitsFor(exchange))
+        return;
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), exchange] {
+        if (self->waitsFor(exchange))
+            self->answerForHandler(UnansweredRequest::ExchangeDropped);
+    });
+}
+
+void HttpServer::Session::answerForHandler(UnansweredRequest reason)
+{
+    m_listener->unanswered.add(reason);
+    LogEvent(LogLevel::Warning, "request_unanswered")
+        .field("listener", m_listener->settings().name)
+        .field("request", m_requestId)
+        .field("reason", toString(reason));
+    const auto closed = std::exchange(m_closed, nullptr);
+    write(HttpResponse{StatusBadGateway, {}, {}});
+    if (closed)
+        closed();
+}
+
 bool HttpServer::Session::clientGone()
 {
     char next = 0;
@@ -137,10 +192,14 @@
                         });
 }
 
-void HttpServer::Session::respond(HttpResponse response)
+void HttpServer::Session::respond(std::uint64_t exchange, HttpResponse response)
+{
+    if (waitsFor(exchange))
+        write(std::move(response));
+}
+
+void HttpServer::Session::write(HttpResponse response)
 {
-    if (!m_exchangeOpen || m_phase == Phase::Closed)
-        return;
     settle();
     enter(Phase::Writing);
     const bool keepAlive = m_keepAlive && !m_listener->closing;
--- a/source/net/httpsession.h
+++ b/source/net/httpsession.h
@@ -21,8 +21,7 @@
 
 namespace Bluebellquay {
 
-class HttpServer::Session final : public HttpExchange,
-                                  public std::enable_shared_from_this<HttpServer::Session>
+class HttpServer::Session : public std::enable_shared_from_this<HttpServer::Session>
 {
 public:
     Session(std::shared_ptr<Listener> listener, boost::asio::ip::tcp::socket socket)
@@ -33,7 +32,7 @@
         boost::system::error_code ignored;
         m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     }
-    ~Session() override
+    ~Session()
     {
         recordEnd(ConnectionEnd::SessionDropped);
         settle();
@@ -41,8 +40,11 @@
     }
 
     void read();
-    void respond(HttpResponse response) override;
-    void onClosed(std::function<void()> callback) override { m_closed = std::move(callback); }
+    // For the request of this number; ignored if it is over.
+    void respond(std::uint64_t exchange, HttpResponse response);
+    void onClosed(std::uint64_t exchange, std::function<void()> callback);
+    // Answers from the event loop, because the handler may be in the middle of its own work.
+    void exchangeDropped(std::uint64_t exchange);
     void sweep(TimePoint now);
     void close(ConnectionEnd end);
 
@@ -54,6 +56,12 @@
     void parse();
     void refuseMalformed(const boost::system::error_code &error);
     void requestRead();
+    void handle(const HttpRequest &request);
+    bool waitsFor(std::uint64_t exchange) const;
+    void beginExchange();
+    // Answers the request in progress in place of its handler, which is told that it is over.
+    void answerForHandler(UnansweredRequest reason);
+    void write(HttpResponse response);
     void enter(Phase phase);
     // Whether the client has closed its side or reset the connection by now.
     bool clientGone();
@@ -78,6 +86,8 @@
     TimePoint m_since;
     bool m_keepAlive = true;
     bool m_exchangeOpen = false;
+    // Number of the request in progress, or of the last one.
+    std::uint64_t m_exchange = 0;
     bool m_watching = false;
     bool m_endRecorded = false;
     // Responses sent on this connection.
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <thread>
+#include <utility>
 
 using namespace Bluebellquay;
 using namespace std::chrono_literals;
@@ -16,6 +17,9 @@
 
 namespace {
 
+struct HandlerFailure
+{ };
+
 class HttpFixture
 {
 public:
@@ -28,6 +32,8 @@
         server = HttpServer::create(context, timers, settings,
                                     [this](const HttpRequest &request,
                                            const std::shared_ptr<HttpExchange> &exchange) {
+                                        if (handler)
+                                            return handler(request, exchange);
                                         requests.push_back(request);
                                         open.push_back(exchange);
                                         exchange->onClosed([this] { ++closed; });
@@ -39,18 +45,26 @@
         client.emplace(context, timers, endpoint);
     }
 
+    void runOne()
+    {
+        try {
+            context.run_one_for(1ms);
+        } catch (const HandlerFailure &) {
+            ++failures;
+        }
+    }
     // Runs the event loop for this time.
     void pass(Duration span)
     {
         for (const TimePoint end = timers.now() + span; timers.now() < end;)
-            context.run_one_for(1ms);
+            runOne();
     }
     // Runs the event loop until the condition holds.
     template <typename Condition>
     void until(Condition condition)
     {
         for (int i = 0; i < 5'000 && !condition(); ++i)
-            context.run_one_for(1ms);
+            runOne();
         REQUIRE(condition());
     }
     HttpReply call(HttpCall request)
@@ -68,7 +82,9 @@
     std::optional<HttpClient> client;
     std::vector<HttpRequest> requests;
     std::vector<std::shared_ptr<HttpExchange>> open;
+    HttpHandler handler;
     int closed = 0;
+    int failures = 0;
     bool answerAtOnce = true;
 };
 
@@ -246,3 +262,30 @@
         CHECK(requests.size() == 1);
     }
 }
+
+TEST_CASE_METHOD(HttpFixture,
+                 "a handler that lets its exchange go or throws does not leave a caller unanswered")
+{
+    std::shared_ptr<HttpExchange> kept;
+    for (const bool throws : {false, true}) {
+        CAPTURE(throws);
+        PiecewiseCaller caller(endpoint);
+        bool answers = false;
+        handler = [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+            if (std::exchange(answers, true))
+                return exchange->respond({200, {}, {}});
+            exchange->onClosed([this] { ++closed; });
+            if (!throws)
+                return;
+            kept = exchange;
+            throw HandlerFailure();
+        };
+        caller.send(std::string(SmallRequest) + std::string(SmallRequest));
+        until([&] { return caller.answered(502) && caller.answered(200); });
+        CHECK(server->openExchanges() == 0);
+    }
+    CHECK(failures == 1);
+    CHECK(closed == 2);
+    CHECK(server->unanswered().count(UnansweredRequest::ExchangeDropped) == 1);
+    CHECK(server->unanswered().count(UnansweredRequest::HandlerFailed) == 1);
+}
