Drain the connection after its last response

A caller that got 413, 400 or a response with Connection: close could lose it: the server closed the socket while bytes of the caller lay unread in it, and the kernel then resets the connection. The server now shuts down sending after the last response, reads and discards what still comes, up to 1 MiB and 2 s (maxDrainedBytes, drainTimeout), and then closes, as the Connect server does.

"a last response with unread bytes behind it is not lost by a reset" failed before (status := 200, write: Broken pipe) and passes.

--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -34,6 +34,10 @@
     Duration requestTimeout{5'000'000};
     // A connection without a request is closed after this time.
     Duration idleTimeout{60'000'000};
+    // What a client may still send, and for how long, after the last response on its connection,
+    // so that it can read the response: closing a socket with unread bytes resets the connection.
+    std::size_t maxDrainedBytes = 1UL << 20;
+    Duration drainTimeout{2'000'000};
     std::size_t maxConnections = 2'000;
 };
 
--- a/source/net/httpsession.cpp
+++ b/source/net/httpsession.cpp
@@ -57,6 +57,12 @@
 {
     if (m_phase == Phase::Closed)
         return;
+    if (m_phase == Phase::Draining) {
+        m_drained += size;
+        if (error || m_drained > m_listener->settings().maxDrainedBytes)
+            return close(ConnectionEnd::ResponseSent);
+        return drain();
+    }
     if (error)
         return close(requestBegun() ? ConnectionEnd::RequestCutShort : ConnectionEnd::ClientClosed);
     m_buffer.commit(size);
@@ -218,19 +224,33 @@
         m_socket.cancel(ignored);
     }
     ++m_listener->writing;
-    http::async_write(m_socket, m_response,
-                      [self = shared_from_this(), keepAlive](const boost::system::error_code &error,
-                                                             std::size_t) {
-                          --self->m_listener->writing;
-                          if (self->m_phase == Phase::Closed)
-                              return;
-                          if (error)
-                              return self->close(ConnectionEnd::WriteFailed);
-                          ++self->m_responses;
-                          if (!keepAlive)
-                              return self->close(ConnectionEnd::ResponseSent);
-                          self->read();
-                      });
+    http::async_write(
+        m_socket, m_response,
+        [self = shared_from_this(), keepAlive](const boost::system::error_code &error,
+                                               std::size_t) { self->written(error, keepAlive); });
+}
+
+void HttpServer::Session::written(const boost::system::error_code &error, bool keepAlive)
+{
+    --m_listener->writing;
+    if (m_phase == Phase::Closed)
+        return;
+    if (error)
+        return close(ConnectionEnd::WriteFailed);
+    ++m_responses;
+    if (keepAlive)
+        return read();
+    recordEnd(ConnectionEnd::ResponseSent);
+    enter(Phase::Draining);
+    boost::system::error_code ignored;
+    m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    drain();
+}
+
+void HttpServer::Session::drain()
+{
+    m_buffer.clear();
+    receive();
 }
 
 void HttpServer::Session::settle()
@@ -260,11 +280,10 @@
 
 void HttpServer::Session::sweep(TimePoint now)
 {
-    const HttpServerSettings &settings = m_listener->settings();
-    const Duration limit =
-        m_phase == Phase::Reading ? settings.requestTimeout : settings.idleTimeout;
-    if (m_phase == Phase::Handling || now <= m_since + limit)
+    if (m_phase == Phase::Handling || now <= m_since + timeLimit())
         return;
+    if (m_phase == Phase::Draining)
+        return close(ConnectionEnd::ResponseSent);
     if (m_phase == Phase::Writing)
         return close(ConnectionEnd::WriteTimeout);
     // A process that was held up finds the sweep due before it has read what arrived meanwhile.
@@ -273,6 +292,19 @@
     close(m_phase == Phase::Reading ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout);
 }
 
+Duration HttpServer::Session::timeLimit() const
+{
+    const HttpServerSettings &settings = m_listener->settings();
+    if (m_phase == Phase::Reading)
+        return settings.requestTimeout;
+    return m_phase == Phase::Draining ? settings.drainTimeout : settings.idleTimeout;
+}
+
+bool HttpServer::Session::requestBegun() const
+{
+    return m_phase == Phase::Reading || m_phase == Phase::Handling || m_phase == Phase::Writing;
+}
+
 std::size_t HttpServer::Session::unreadBytes()
 {
     boost::system::error_code error;
@@ -291,6 +323,8 @@
         return "handling";
     case Phase::Writing:
         return "writing";
+    case Phase::Draining:
+        return "draining";
     case Phase::Closed:
         break;
     }
--- a/source/net/httpsession.h
+++ b/source/net/httpsession.h
@@ -49,7 +49,7 @@
     void close(ConnectionEnd end);
 
 private:
-    enum class Phase { Idle, Reading, Handling, Writing, Closed };
+    enum class Phase { Idle, Reading, Handling, Writing, Draining, Closed };
 
     void receive();
     void received(const boost::system::error_code &error, std::size_t size);
@@ -62,6 +62,9 @@
     // Answers the request in progress in place of its handler, which is told that it is over.
     void answerForHandler(UnansweredRequest reason);
     void write(HttpResponse response);
+    void written(const boost::system::error_code &error, bool keepAlive);
+    // Ends the sending side and discards what the client still sends, until its end.
+    void drain();
     void enter(Phase phase);
     // Whether the client has closed its side or reset the connection by now.
     bool clientGone();
@@ -70,7 +73,9 @@
     void settle();
     // Counts the end of the connection, and logs it if a request had begun. The first one counts.
     void recordEnd(ConnectionEnd end);
-    bool requestBegun() const { return m_phase != Phase::Idle && m_phase != Phase::Closed; }
+    bool requestBegun() const;
+    // How long the present phase may last; no limit while a handler works.
+    Duration timeLimit() const;
     // Bytes that have arrived and are not read yet.
     std::size_t unreadBytes();
     std::string_view phaseName() const;
@@ -90,6 +95,7 @@
     std::uint64_t m_exchange = 0;
     bool m_watching = false;
     bool m_endRecorded = false;
+    std::size_t m_drained = 0;
     // Responses sent on this connection.
     std::uint64_t m_responses = 0;
     // The caller's name for the request in progress, for the logs.
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -96,6 +96,7 @@
 
     void send(std::string_view bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
     void close() { m_socket.close(); }
+    void closeSending() { m_socket.shutdown(Tcp::socket::shutdown_send); }
     // All that the server has sent until now. Sets ended() if it has closed the connection.
     const std::string &received()
     {
@@ -105,6 +106,7 @@
         const std::size_t size = m_socket.receive(boost::asio::buffer(bytes), 0, error);
         m_socket.non_blocking(false);
         m_ended = m_ended || (error && error != boost::asio::error::would_block);
+        m_reset = m_reset || error == boost::asio::error::connection_reset;
         return m_received.append(bytes, 0, error ? 0 : size);
     }
     bool answered(unsigned status)
@@ -112,6 +114,7 @@
         return received().find("HTTP/1.1 " + std::to_string(status)) != std::string::npos;
     }
     bool ended() const { return m_ended; }
+    bool reset() const { return m_reset; }
     void forget() { m_received.clear(); }
 
 private:
@@ -119,6 +122,7 @@
     Tcp::socket m_socket{m_context};
     std::string m_received;
     bool m_ended = false;
+    bool m_reset = false;
 };
 
 constexpr std::string_view SmallRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -289,3 +293,40 @@
     CHECK(server->unanswered().count(UnansweredRequest::ExchangeDropped) == 1);
     CHECK(server->unanswered().count(UnansweredRequest::HandlerFailed) == 1);
 }
+
+TEST_CASE_METHOD(HttpFixture, "a last response with unread bytes behind it is not lost by a reset")
+{
+    const std::string unread(8'000, 'x');
+    const std::string close = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    const std::string large = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n";
+    for (const auto &[status, head] : {std::pair(200U, close), std::pair(413U, large),
+                                       std::pair(400U, std::string("no\r\n\r\n"))}) {
+        CAPTURE(status);
+        PiecewiseCaller caller(endpoint);
+        caller.send(head + unread);
+        until([&] { return caller.answered(status) && caller.ended(); });
+        CHECK_FALSE(caller.reset());
+        // Also for bytes that arrive after the response.
+        caller.send(unread);
+        pass(20ms);
+        caller.closeSending();
+        pass(20ms);
+    }
+    CHECK(server->connectionEnds().count(ConnectionEnd::ResponseSent) == 3);
+}
+
+TEST_CASE_METHOD(HttpFixture,
+                 "a client that sends on after the last response does not keep its connection")
+{
+    HttpServerSettings settings;
+    settings.drainTimeout = 100ms;
+    serve(settings);
+    PiecewiseCaller caller(endpoint);
+    caller.send("no\r\n\r\n");
+    until([&] { return caller.answered(400) && caller.ended(); });
+    // Longer than the time between two sweeps.
+    pass(settings.drainTimeout + 600ms);
+    caller.send("x");
+    pass(10ms);
+    CHECK_THROWS_AS(caller.send("x"), boost::system::system_error);
+}
