Let a stopping process end only when no request has begun or lies unread

A caller whose request had been read in part, or lay in a socket, when an entry or an agent had no other work at its planned stop lost its connection with the process: the entry looked only at requests that had reached their handler, the agent at none. Idle connections ended with the process.

HttpServer::idle() is now false while a request has begun, while bytes lie unread in a socket, while a client sends on behind its last response, and in the first 500 ms of a connection without a request. The bounds of the stop are unchanged.

With idle() as before and an empty closeIdleConnections(), "a stopping server is not idle while a request has begun or lies unread" failed (CHECK_FALSE( server->idle()) with expansion !true) and "a stopping server closes idle connections and not ones that expect a request" failed at its wait for the close. Both pass; test_platform: 47 cases pass, the existing stop test among them, unchanged. No test runs a whole entry or agent through its stop.

--- a/source/net/httplistener.cpp
+++ b/source/net/httplistener.cpp
@@ -4,6 +4,7 @@
 #include "net/connectserver.h"
 #include "net/httpsession.h"
 
+#include <algorithm>
 #include <sstream>
 #include <vector>
 
@@ -80,6 +81,21 @@
     }
 }
 
+bool HttpServer::Listener::idle() const
+{
+    return std::none_of(m_sessions.begin(), m_sessions.end(),
+                        [](Session *session) { return session->busy(); });
+}
+
+void HttpServer::Listener::closeIdleConnections()
+{
+    const std::vector<Session *> sessions(m_sessions.begin(), m_sessions.end());
+    for (Session *session : sessions) {
+        if (m_sessions.contains(session))
+            session->closeIfIdle();
+    }
+}
+
 void HttpServer::Listener::shutDown()
 {
     m_handler = nullptr;
--- a/source/net/httplistener.h
+++ b/source/net/httplistener.h
@@ -29,6 +29,8 @@
     void accept();
     void shutDown();
     void sweep();
+    bool idle() const;
+    void closeIdleConnections();
     unsigned short port() const { return m_port; }
 
     const HttpServerSettings &settings() const { return m_settings; }
@@ -42,7 +44,6 @@
 
     bool closing = false;
     std::size_t openExchanges = 0;
-    std::size_t writing = 0;
     ConnectionEndCounts ends;
     UnansweredRequestCounts unanswered;
 
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -55,7 +55,7 @@
 
 bool HttpServer::idle() const
 {
-    return m_listener->openExchanges == 0 && m_listener->writing == 0;
+    return m_listener->idle();
 }
 
 void HttpServer::closeAfterResponse()
@@ -63,4 +63,9 @@
     m_listener->closing = true;
 }
 
+void HttpServer::closeIdleConnections()
+{
+    m_listener->closeIdleConnections();
+}
+
 } // namespace Bluebellquay
--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -95,7 +95,9 @@
     unsigned short port() const;
     // Requests that wait for their response.
     std::size_t openExchanges() const;
-    // No request waits for its response, and every response has been handed to the system.
+    // No request has begun or lies unread in a socket, every response has been handed to the
+    // system, no client sends on behind its last one, and no connection is so new that its first
+    // request is still expected.
     bool idle() const;
     // Connections that have ended, by reason.
     const ConnectionEndCounts &connectionEnds() const;
@@ -103,6 +105,10 @@
     const UnansweredRequestCounts &unanswered() const;
     // From now on each response closes its connection; idle connections stay until their next one.
     void closeAfterResponse();
+    // Closes the connections on which no request has begun or is expected, so that their clients
+    // learn it before they send. A request that arrives later is not read: the system resets its
+    // connection.
+    void closeIdleConnections();
 
 private:
     class Exchange;
--- a/source/net/httpsession.cpp
+++ b/source/net/httpsession.cpp
@@ -20,6 +20,8 @@
 // Most requests fit, so that one read takes them whole.
 constexpr std::size_t ReadBytes = 4'096;
 constexpr unsigned StatusBadGateway = 502;
+// Clients send their first request as soon as they are connected.
+constexpr Duration FirstRequestDelay{500'000};
 constexpr const char *RequestIdHeader = "Request-Id";
 
 } // namespace
@@ -223,7 +225,6 @@
         boost::system::error_code ignored;
         m_socket.cancel(ignored);
     }
-    ++m_listener->writing;
     http::async_write(
         m_socket, m_response,
         [self = shared_from_this(), keepAlive](const boost::system::error_code &error,
@@ -232,7 +233,6 @@
 
 void HttpServer::Session::written(const boost::system::error_code &error, bool keepAlive)
 {
-    --m_listener->writing;
     if (m_phase == Phase::Closed)
         return;
     if (error)
@@ -292,6 +292,21 @@
     close(m_phase == Phase::Reading ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout);
 }
 
+bool HttpServer::Session::busy()
+{
+    if (m_phase == Phase::Closed)
+        return false;
+    if (requestBegun() || m_drained > 0 || unreadBytes() > 0)
+        return true;
+    return m_responses == 0 && m_listener->now() < m_since + FirstRequestDelay;
+}
+
+void HttpServer::Session::closeIfIdle()
+{
+    if (m_phase == Phase::Idle && !busy())
+        close(ConnectionEnd::ServerClosed);
+}
+
 Duration HttpServer::Session::timeLimit() const
 {
     const HttpServerSettings &settings = m_listener->settings();
--- a/source/net/httpsession.h
+++ b/source/net/httpsession.h
@@ -47,6 +47,10 @@
     void exchangeDropped(std::uint64_t exchange);
     void sweep(TimePoint now);
     void close(ConnectionEnd end);
+    // A request has begun, lies unread in the socket or is expected soon, or the client sends on
+    // behind its last response.
+    bool busy();
+    void closeIfIdle();
 
 private:
     enum class Phase { Idle, Reading, Handling, Writing, Draining, Closed };
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -330,3 +330,50 @@
     pass(10ms);
     CHECK_THROWS_AS(caller.send("x"), boost::system::system_error);
 }
+
+TEST_CASE_METHOD(HttpFixture,
+                 "a stopping server is not idle while a request has begun or lies unread")
+{
+    PiecewiseCaller caller(endpoint);
+    caller.send(SmallRequest);
+    until([&] { return caller.answered(200); });
+    server->closeAfterResponse();
+    until([&] { return server->idle(); });
+    caller.forget();
+    // Arrives in the socket without being read.
+    caller.send(SmallRequest.substr(0, 10));
+    CHECK_FALSE(server->idle());
+    pass(20ms);
+    server->closeIdleConnections();
+    CHECK_FALSE(server->idle());
+    caller.send(SmallRequest.substr(10));
+    until([&] { return caller.answered(200) && caller.ended(); });
+    CHECK_FALSE(caller.reset());
+    // Closing the socket now would reset the connection.
+    caller.send("x");
+    CHECK_FALSE(server->idle());
+    caller.close();
+    until([&] { return server->idle(); });
+}
+
+TEST_CASE_METHOD(HttpFixture,
+                 "a stopping server closes idle connections and not ones that expect a request")
+{
+    PiecewiseCaller idle(endpoint);
+    idle.send(SmallRequest);
+    until([&] { return idle.answered(200); });
+    PiecewiseCaller fresh(endpoint);
+    pass(10ms);
+    server->closeAfterResponse();
+    server->closeIdleConnections();
+    CHECK_FALSE(server->idle());
+    until([&] { return idle.answered(200) && idle.ended(); });
+    CHECK_FALSE(idle.reset());
+    idle.send(SmallRequest);
+    fresh.send(SmallRequest);
+    until([&] { return fresh.answered(200) && fresh.ended(); });
+    CHECK(requests.size() == 2);
+    fresh.close();
+    until([&] { return server->idle(); });
+    CHECK(server->connectionEnds().count(ConnectionEnd::ServerClosed) == 1);
+}
