Capture no structured binding in a test's lambda

clang rejects the reference to the local binding 'status' in the drain test, which gcc accepts (clang-tidy: clang-diagnostic-error at httptest.cpp:307).

--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -299,11 +299,12 @@
     const std::string unread(8'000, 'x');
     const std::string close = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
     const std::string large = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n";
-    for (const auto &[status, head] : {std::pair(200U, close), std::pair(413U, large),
-                                       std::pair(400U, std::string("no\r\n\r\n"))}) {
+    for (const auto &answer : {std::pair(200U, close), std::pair(413U, large),
+                               std::pair(400U, std::string("no\r\n\r\n"))}) {
+        const unsigned status = answer.first;
         CAPTURE(status);
         PiecewiseCaller caller(endpoint);
-        caller.send(head + unread);
+        caller.send(answer.second + unread);
         until([&] { return caller.answered(status) && caller.ended(); });
         CHECK_FALSE(caller.reset());
         // Also for bytes that arrive after the response.
