--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -6,6 +6,7 @@
 #include "base/coretime.h"
 #include "kernel/timerservice.h"
 #include "net/connectionend.h"
+#include "net/unansweredrequest.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -33,6 +34,10 @@
     Duration requestTimeout{5'000'000};
     // A connection without a request is closed after this time.
     Duration idleTimeout{60'000'000};
+    // What a client may still send, and for how long, after the last response on its connection,
+    // so that it can read the response: closing a socket with unread bytes resets the connection.
+    std::size_t maxDrainedBytes = 1UL << 20;
+    Duration drainTimeout{2'000'000};
     std::size_t maxConnections = 2'000;
 };
 
@@ -57,7 +62,9 @@
     std::optional<std::uint32_t> retryAfterSeconds;
 };
 
-// One request that waits for its response. May be answered at once or later, once.
+// One request that waits for its response. May be answered at once or later, once. If the last
+// reference goes without a response, or the handler throws, the server calls back onClosed() and
+// answers 502: the request may have been carried out.
 class HttpExchange
 {
 public:
@@ -67,7 +74,8 @@
     HttpExchange &operator=(const HttpExchange &) = delete;
 
     virtual void respond(HttpResponse response) = 0;
-    // Called once if the client closes the connection before it is answered.
+    // Called once if the request ends before respond() is called: the client closes the connection,
+    // or the handler throws or lets the exchange go.
     virtual void onClosed(std::function<void()> callback) = 0;
 };
 
@@ -87,14 +95,23 @@
     unsigned short port() const;
     // Requests that wait for their response.
     std::size_t openExchanges() const;
-    // No request waits for its response, and every response has been handed to the system.
+    // No request has begun or lies unread in a socket, every response has been handed to the
+    // system, no client sends on behind its last one, and no connection is so new that its first
+    // request is still expected.
     bool idle() const;
     // Connections that have ended, by reason.
     const ConnectionEndCounts &connectionEnds() const;
+    // Requests that the server answered because their handler did not, by reason.
+    const UnansweredRequestCounts &unanswered() const;
     // From now on each response closes its connection; idle connections stay until their next one.
     void closeAfterResponse();
+    // Closes the connections on which no request has begun or is expected, so that their clients
+    // learn it before they send. A request that arrives later is not read: the system resets its
+    // connection.
+    void closeIdleConnections();
 
 private:
+    class Exchange;
     class Listener;
     class Session;
 
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <thread>
+#include <utility>
 
 using namespace Bluebellquay;
 using namespace std::chrono_literals;
@@ -16,6 +17,9 @@
 
 namespace {
 
+struct HandlerFailure
+{ };
+
 class HttpFixture
 {
 public:
@@ -28,6 +32,8 @@
         server = HttpServer::create(context, timers, settings,
                                     [this](const HttpRequest &request,
                                            const std::shared_ptr<HttpExchange> &exchange) {
+                                        if (handler)
+                                            return handler(request, exchange);
                                         requests.push_back(request);
                                         open.push_back(exchange);
                                         exchange->onClosed([this] { ++closed; });
@@ -39,18 +45,26 @@
         client.emplace(context, timers, endpoint);
     }
 
+    void runOne()
+    {
+        try {
+            context.run_one_for(1ms);
+        } catch (const HandlerFailure &) {
+            ++failures;
+        }
+    }
     // Runs the event loop for this time.
     void pass(Duration span)
     {
         for (const TimePoint end = timers.now() + span; timers.now() < end;)
-            context.run_one_for(1ms);
+            runOne();
     }
     // Runs the event loop until the condition holds.
     template <typename Condition>
     void until(Condition condition)
     {
         for (int i = 0; i < 5'000 && !condition(); ++i)
-            context.run_one_for(1ms);
+            runOne();
         REQUIRE(condition());
     }
     HttpReply call(HttpCall request)
@@ -68,7 +82,9 @@
     std::optional<HttpClient> client;
     std::vector<HttpRequest> requests;
     std::vector<std::shared_ptr<HttpExchange>> open;
+    HttpHandler handler;
     int closed = 0;
+    int failures = 0;
     bool answerAtOnce = true;
 };
 
@@ -80,6 +96,7 @@
 
     void send(std::string_view bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
     void close() { m_socket.close(); }
+    void closeSending() { m_socket.shutdown(Tcp::socket::shutdown_send); }
     // All that the server has sent until now. Sets ended() if it has closed the connection.
     const std::string &received()
     {
@@ -89,6 +106,7 @@
         const std::size_t size = m_socket.receive(boost::asio::buffer(bytes), 0, error);
         m_socket.non_blocking(false);
         m_ended = m_ended || (error && error != boost::asio::error::would_block);
+        m_reset = m_reset || error == boost::asio::error::connection_reset;
         return m_received.append(bytes, 0, error ? 0 : size);
     }
     bool answered(unsigned status)
@@ -96,6 +114,7 @@
         return received().find("HTTP/1.1 " + std::to_string(status)) != std::string::npos;
     }
     bool ended() const { return m_ended; }
+    bool reset() const { return m_reset; }
     void forget() { m_received.clear(); }
 
 private:
@@ -103,6 +122,7 @@
     Tcp::socket m_socket{m_context};
     std::string m_received;
     bool m_ended = false;
+    bool m_reset = false;
 };
 
 constexpr std::string_view SmallRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -261,3 +281,115 @@
         CHECK(requests.size() == 1);
     }
 }
+
+TEST_CASE_METHOD(HttpFixture,
+                 "a handler that lets its exchange go or throws does not leave a caller unanswered")
+{
+    std::shared_ptr<HttpExchange> kept;
+    for (const bool throws : {false, true}) {
+        CAPTURE(throws);
+        PiecewiseCaller caller(endpoint);
+        bool answers = false;
+        handler = [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+            if (std::exchange(answers, true))
+                return exchange->respond({200, {}, {}});
+            exchange->onClosed([this] { ++closed; });
+            if (!throws)
+                return;
+            kept = exchange;
+            throw HandlerFailure();
+        };
+        caller.send(std::string(SmallRequest) + std::string(SmallRequest));
+        until([&] { return caller.answered(502) && caller.answered(200); });
+        CHECK(server->openExchanges() == 0);
+    }
+    CHECK(failures == 1);
+    CHECK(closed == 2);
+    CHECK(server->unanswered().count(UnansweredRequest::ExchangeDropped) == 1);
+    CHECK(server->unanswered().count(UnansweredRequest::HandlerFailed) == 1);
+}
+
+TEST_CASE_METHOD(HttpFixture, "a last response with unread bytes behind it is not lost by a reset")
+{
+    const std::string unread(8'000, 'x');
+    const std::string close = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    const std::string large = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n";
+    for (const auto &answer : {std::pair(200U, close), std::pair(413U, large),
+                               std::pair(400U, std::string("no\r\n\r\n"))}) {
+        const unsigned status = answer.first;
+        CAPTURE(status);
+        PiecewiseCaller caller(endpoint);
+        caller.send(answer.second + unread);
+        until([&] { return caller.answered(status) && caller.ended(); });
+        CHECK_FALSE(caller.reset());
+        // Also for bytes that arrive after the response.
+        caller.send(unread);
+        pass(20ms);
+        caller.closeSending();
+        pass(20ms);
+    }
+    CHECK(server->connectionEnds().count(ConnectionEnd::ResponseSent) == 3);
+}
+
+TEST_CASE_METHOD(HttpFixture,
+                 "a client that sends on after the last response does not keep its connection")
+{
+    HttpServerSettings settings;
+    settings.drainTimeout = 100ms;
+    serve(settings);
+    PiecewiseCaller caller(endpoint);
+    caller.send("no\r\n\r\n");
+    until([&] { return caller.answered(400) && caller.ended(); });
+    // Longer than the time between two sweeps.
+    pass(settings.drainTimeout + 600ms);
+    caller.send("x");
+    pass(10ms);
+    CHECK_THROWS_AS(caller.send("x"), boost::system::system_error);
+}
+
+TEST_CASE_METHOD(HttpFixture,
+                 "a stopping server is not idle while a request has begun or lies unread")
+{
+    PiecewiseCaller caller(endpoint);
+    caller.send(SmallRequest);
+    until([&] { return caller.answered(200); });
+    server->closeAfterResponse();
+    until([&] { return server->idle(); });
+    caller.forget();
+    // Arrives in the socket without being read.
+    caller.send(SmallRequest.substr(0, 10));
+    CHECK_FALSE(server->idle());
+    pass(20ms);
+    server->closeIdleConnections();
+    CHECK_FALSE(server->idle());
+    caller.send(SmallRequest.substr(10));
+    until([&] { return caller.answered(200) && caller.ended(); });
+    CHECK_FALSE(caller.reset());
+    // Closing the socket now would reset the connection.
+    caller.send("x");
+    CHECK_FALSE(server->idle());
+    caller.close();
+    until([&] { return server->idle(); });
+}
+
+TEST_CASE_METHOD(HttpFixture,
+                 "a stopping server closes idle connections and not ones that expect a request")
+{
+    PiecewiseCaller idle(endpoint);
+    idle.send(SmallRequest);
+    until([&] { return idle.answered(200); });
+    PiecewiseCaller fresh(endpoint);
+    pass(10ms);
+    server->closeAfterResponse();
+    server->closeIdleConnections();
+    CHECK_FALSE(server->idle());
+    until([&] { return idle.answered(200) && idle.ended(); });
+    CHECK_FALSE(idle.reset());
+    idle.send(SmallRequest);
+    fresh.send(SmallRequest);
+    until([&] { return fresh.answered(200) && fresh.ended(); });
+    CHECK(requests.size() == 2);
+    fresh.close();
+    until([&] { return server->idle(); });
+    CHECK(server->connectionEnds().count(ConnectionEnd::ServerClosed) == 1);
+}
