--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -99,21 +99,8 @@
         if (position != m_runs.end())
             position->second.listed = true;
     }
-    for (auto position = m_runs.begin(); position != m_runs.end();) {
-        const auto current = position++;
-        TrackedRun &run = current->second;
-        if (running.contains(current->first))
-            continue;
-        // The worker lists a run as running until it lists its end. So a run that is not listed
-        // after its stop was confirmed has ended before or was never started.
-        const bool stopped = run.stopConfirmed && account.askedAt >= *run.stopConfirmed;
-        // A confirmed run that is neither running nor listed as ended was forgotten by the worker.
-        const bool forgotten = run.state == RunState::Running && account.askedAt > run.confirmed;
-        if (stopped)
-            end(now, current, run.foreign() ? RunResult::Stopped : RunResult::NotStarted, out);
-        else if (forgotten && account.unreadable == 0)
-            end(now, current, RunResult::Lost, out);
-    }
+    for (const ListedEnd &missing : m_runs.endsOfMissing(account, running))
+        end(now, m_runs.find(missing.run), missing.end, out);
     m_mayRenewLease = m_mayRenewLease || m_runs.foreignRuns() == 0;
     if (now >= m_nextStandstillCheck) {
         m_nextStandstillCheck = now + StandstillCheckInterval;
@@ -171,15 +158,7 @@
             continue;
         ++m_statistics.ordersReceived;
         m_statistics.ordersEvacuated += m_evacuated ? 1 : 0;
-        TrackedRun run;
-        run.home = home;
-        run.need = message.need;
-        run.keepFree = order.keepFree;
-        run.expected = order.expectedRunTime;
-        run.rank = {message.priority, now + message.timeLeft};
-        run.received = now;
-        run.payload = message.payload;
-        m_runs.addWaiting(key, std::move(run));
+        m_runs.addWaiting(key, TrackedRun::waiting(now, home, message, order));
         scheduleCheck(now + m_settings.longestWait);
     }
     if (m_reports.retired(home))
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -4,6 +4,20 @@
 
 namespace Bluebellquay {
 
+TrackedRun TrackedRun::waiting(TimePoint now, Incarnation home, const StartRuns &message,
+                               const RunOrder &order)
+{
+    TrackedRun run;
+    run.home = home;
+    run.need = message.need;
+    run.keepFree = order.keepFree;
+    run.expected = order.expectedRunTime;
+    run.rank = {message.priority, now + message.timeLeft};
+    run.received = now;
+    run.payload = message.payload;
+    return run;
+}
+
 void TrackedRun::confirm(TimePoint now)
 {
     state = RunState::Running;
@@ -75,6 +89,26 @@
     return free;
 }
 
+std::vector<ListedEnd> TrackedRuns::endsOfMissing(const RunListing &listing,
+                                                  const std::set<RunKey> &running) const
+{
+    std::vector<ListedEnd> ends;
+    for (const auto &[key, run] : m_runs) {
+        if (running.contains(key))
+            continue;
+        // The worker lists a run as running until it lists its end. So a run that is not listed
+        // after its stop was confirmed has ended before or was never started.
+        const bool stopped = run.stopConfirmed && listing.askedAt >= *run.stopConfirmed;
+        // A confirmed run that is neither running nor listed as ended was forgotten by the worker.
+        const bool forgotten = run.state == RunState::Running && listing.askedAt > run.confirmed;
+        if (stopped)
+            ends.push_back({key, run.foreign() ? RunResult::Stopped : RunResult::NotStarted});
+        else if (forgotten && listing.unreadable == 0)
+            ends.push_back({key, RunResult::Lost});
+    }
+    return ends;
+}
+
 std::vector<StartedRun> TrackedRuns::started() const
 {
     std::vector<StartedRun> runs;
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -8,6 +8,7 @@
 #include "core/standstill.h"
 #include "core/startattempts.h"
 #include "core/trackerlog.h"
+#include "core/workercalls.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -58,6 +59,9 @@
     // Kept until the worker has confirmed the run, so that the start can be repeated.
     std::string payload;
 
+    // A run that has been ordered with this message and waits for capacity.
+    static TrackedRun waiting(TimePoint now, Incarnation home, const StartRuns &message,
+                              const RunOrder &order);
     // Whether a previous incarnation of the agent started the run.
     bool foreign() const { return home == Incarnation(); }
     // The worker has confirmed that it runs.
@@ -109,6 +113,10 @@
     }
     // Number of runs that a previous incarnation of the agent started.
     std::uint32_t foreignRuns() const { return m_foreignRuns; }
+    // Ends of the runs that a listing shows to be over by not containing them. `running` are the
+    // runs that it lists as running; those that it lists as ended must have been removed.
+    std::vector<ListedEnd> endsOfMissing(const RunListing &listing,
+                                         const std::set<RunKey> &running) const;
     std::vector<StartedRun> started() const;
     // Runs that the worker has confirmed, and that are not being stopped.
     std::vector<OngoingRun> ongoing() const;
