Answer requests that stay incomplete, and callers that closed only their sending side

Evidence: two tests that failed before (no answer; 503 and 502 expected).

A caller that has gone gets nothing from it: its connection is reset by the answer. The ends are logged and counted as before.

--- a/source/net/httpsession.cpp
+++ b/source/net/httpsession.cpp
@@ -20,6 +20,9 @@
 // Most requests fit, so that one read takes them whole.
 constexpr std::size_t ReadBytes = 4'096;
 constexpr unsigned StatusBadGateway = 502;
+// Says that the request has not run and never will.
+constexpr unsigned StatusUnavailable = 503;
+constexpr std::uint32_t RefusedRetrySeconds = 1;
 // Clients send their first request as soon as they are connected.
 constexpr Duration FirstRequestDelay{500'000};
 constexpr const char *RequestIdHeader = "Request-Id";
@@ -57,7 +60,8 @@
 
 void HttpServer::Session::received(const boost::system::error_code &error, std::size_t size)
 {
-    if (m_phase == Phase::Closed)
+    // While a response is written, only a read that refuse() has cancelled can end.
+    if (m_phase == Phase::Closed || m_phase == Phase::Writing)
         return;
     if (m_phase == Phase::Draining) {
         m_drained += size;
@@ -93,9 +97,16 @@
 void HttpServer::Session::refuseMalformed(const boost::system::error_code &error)
 {
     const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
+    refuse(HttpResponse{tooLarge ? 413U : 400U, {}, {}});
+}
+
+void HttpServer::Session::refuse(HttpResponse response)
+{
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
     m_keepAlive = false;
     beginExchange();
-    write(HttpResponse{tooLarge ? 413U : 400U, {}, {}});
+    write(std::move(response));
 }
 
 void HttpServer::Session::requestRead()
@@ -103,7 +114,12 @@
     // A process that was paused or busy finds requests whose callers gave up on it long ago and
     // have gone elsewhere with them.
     m_requestId = std::string(m_parser->get()[RequestIdHeader]);
-    if (clientGone())
+    const boost::system::error_code end = clientEnd();
+    if (end)
+        recordEnd(ConnectionEnd::ClientGoneBeforeHandling);
+    if (end == asio::error::eof)
+        return refuse(HttpResponse{StatusUnavailable, {}, RefusedRetrySeconds});
+    if (end)
         return close(ConnectionEnd::ClientGoneBeforeHandling);
     http::request<http::string_body> message = m_parser->release();
     m_keepAlive = message.keep_alive();
@@ -174,13 +190,13 @@
         closed();
 }
 
-bool HttpServer::Session::clientGone()
+boost::system::error_code HttpServer::Session::clientEnd()
 {
     char next = 0;
     boost::system::error_code error;
     m_socket.non_blocking(true, error);
     m_socket.receive(asio::buffer(&next, 1), Tcp::socket::message_peek, error);
-    return error && error != asio::error::would_block;
+    return error == asio::error::would_block ? boost::system::error_code() : error;
 }
 
 void HttpServer::Session::watchForClose()
@@ -193,13 +209,25 @@
                             self->m_watching = false;
                             if (error || self->m_phase != Phase::Handling)
                                 return;
-                            boost::system::error_code failed;
-                            // Readable without data: the client has closed its side.
-                            if (self->m_socket.available(failed) == 0 || failed)
-                                self->close(ConnectionEnd::ClientGoneWhileHandling);
+                            self->checkClientEnd();
                         });
 }
 
+void HttpServer::Session::checkClientEnd()
+{
+    const boost::system::error_code end = clientEnd();
+    if (!end)
+        return;
+    if (end != asio::error::eof)
+        return close(ConnectionEnd::ClientGoneWhileHandling);
+    recordEnd(ConnectionEnd::ClientGoneWhileHandling);
+    m_keepAlive = false;
+    const auto closed = std::exchange(m_closed, nullptr);
+    write(HttpResponse{StatusBadGateway, {}, {}});
+    if (closed)
+        closed();
+}
+
 void HttpServer::Session::respond(std::uint64_t exchange, HttpResponse response)
 {
     if (waitsFor(exchange))
@@ -289,7 +317,10 @@
     // A process that was held up finds the sweep due before it has read what arrived meanwhile.
     if (unreadBytes() > 0)
         return;
-    close(m_phase == Phase::Reading ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout);
+    if (m_phase == Phase::Idle)
+        return close(ConnectionEnd::IdleTimeout);
+    recordEnd(ConnectionEnd::RequestTimeout);
+    refuse(HttpResponse{StatusUnavailable, {}, RefusedRetrySeconds});
 }
 
 bool HttpServer::Session::busy()
--- a/source/net/httpsession.h
+++ b/source/net/httpsession.h
@@ -70,9 +70,14 @@
     // Ends the sending side and discards what the client still sends, until its end.
     void drain();
     void enter(Phase phase);
-    // Whether the client has closed its side or reset the connection by now.
-    bool clientGone();
+    // Answers a request that is not handed up, and ends the connection.
+    void refuse(HttpResponse response);
+    // How the client has ended the connection by now: end of file also if it has closed only its
+    // sending side, which looks the same until something is sent.
+    boost::system::error_code clientEnd();
     void watchForClose();
+    // A client that has closed its side counts as gone: its work is stopped. It may still read.
+    void checkClientEnd();
     // The request in progress, if any, is over.
     void settle();
     // Counts the end of the connection, and logs it if a request had begun. The first one counts.
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -255,6 +255,35 @@
     CHECK(requests.size() == 2);
 }
 
+TEST_CASE_METHOD(HttpFixture, "a request that stays incomplete is refused instead of cut")
+{
+    HttpServerSettings settings;
+    settings.requestTimeout = 500ms;
+    serve(settings);
+    PiecewiseCaller caller(endpoint);
+    caller.send(SmallRequest.substr(0, 10));
+    until([&] { return caller.answered(503) || caller.ended(); });
+    CHECK(caller.answered(503));
+    CHECK(requests.empty());
+    CHECK(server->connectionEnds().count(ConnectionEnd::RequestTimeout) == 1);
+}
+
+TEST_CASE_METHOD(HttpFixture, "a caller that has closed only its sending side gets an answer")
+{
+    answerAtOnce = false;
+    PiecewiseCaller early(endpoint);
+    early.send(SmallRequest);
+    early.closeSending();
+    PiecewiseCaller late(endpoint);
+    late.send(SmallRequest);
+    until([&] { return early.answered(503) && requests.size() == 1; });
+    late.closeSending();
+    until([&] { return late.answered(502); });
+    CHECK(closed == 1);
+    CHECK(requests.size() == 1);
+    CHECK(server->openExchanges() == 0);
+}
+
 TEST_CASE_METHOD(HttpFixture, "a request that arrives while the process is held up is answered")
 {
     HttpServerSettings settings;
