Read a reply that has arrived before its call is timed out

What would be seen: starts, stops and renewals of a worker counted as unanswered, and repeated or stopped, though their replies lay unread in the socket of an agent that had been held up. Since a reply's body is read by a second operation, small replies were open to it as well.

Evidence: a test that failed before (the call ended without an answer).

Why this works: a call whose reply has begun to arrive when its timeout is due has 20 ms more, once, in which the event loop reads what is there.

--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -34,6 +34,8 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 constexpr int UnacknowledgedTimeoutMs = 3'000;
+// For a reply that has begun to arrive when the call times out.
+constexpr Duration UnreadReplyTime{20'000};
 
 void setOption(Tcp::socket &socket, int level, int name, int value)
 {
@@ -107,6 +109,9 @@
     void receive();
     void receiveBody();
     void finish(HttpReply reply, bool reusable);
+    void timedOut(TimePoint now);
+    // Whether a part of the reply has been read, or lies unread.
+    bool replyArriving();
 
     std::shared_ptr<State> m_state;
     Tcp::socket m_socket;
@@ -127,6 +132,7 @@
     ++m_generation;
     m_callback = std::move(callback);
     m_sent = false;
+    m_parser.reset();
     m_request = {};
     m_request.version(HttpVersion11);
     m_request.method_string(call.method);
@@ -139,16 +145,35 @@
     m_request.body() = std::move(call.body);
     m_request.keep_alive(true);
     m_request.prepare_payload();
-    m_timeout = m_state->timers.at(m_state->timers.now() + call.timeout, [this](TimePoint) {
-        const auto self = shared_from_this();
-        finish(m_sent ? noAnswer(false) : notSent(false), false);
-    });
+    m_timeout = m_state->timers.at(m_state->timers.now() + call.timeout,
+                                   [this](TimePoint now) { timedOut(now); });
     if (m_connected)
         send();
     else
         connect();
 }
 
+// A process that was held up finds the timeout due before it has read what arrived meanwhile.
+void HttpClient::Connection::timedOut(TimePoint now)
+{
+    const auto self = shared_from_this();
+    if (replyArriving()) {
+        m_timeout = m_state->timers.at(now + UnreadReplyTime, [this](TimePoint) {
+            const auto kept = shared_from_this();
+            finish(noAnswer(false), false);
+        });
+        return;
+    }
+    finish(m_sent ? noAnswer(false) : notSent(false), false);
+}
+
+bool HttpClient::Connection::replyArriving()
+{
+    boost::system::error_code error;
+    const bool begun = m_sent && m_parser && m_parser->got_some();
+    return begun || (m_sent && m_socket.available(error) > 0 && !error);
+}
+
 void HttpClient::Connection::connect()
 {
     m_socket.async_connect(m_state->server,
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -222,6 +222,16 @@
     CHECK(call({"POST", "/", "{}", {}, 100ms}).end == HttpCallEnd::NoAnswer);
 }
 
+TEST_CASE_METHOD(HttpFixture, "a reply that arrives while the process is held up is not timed out")
+{
+    std::optional<HttpReply> reply;
+    client->call({"GET", "/", {}, {}, 200ms}, [&](HttpReply got) { reply = std::move(got); });
+    until([&] { return requests.size() == 1; });
+    std::this_thread::sleep_for(300ms);
+    until([&] { return reply.has_value(); });
+    CHECK(reply->answered(200));
+}
+
 TEST_CASE_METHOD(HttpFixture, "a call without a listener was not sent")
 {
     client.emplace(context, timers, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 1));
