--- a/source/core/jobtable.h
+++ b/source/core/jobtable.h
@@ -62,7 +62,7 @@
 
 private:
     Jobs m_jobs;
-    // By call, the key of its job.
+    // Key of the job that each call waits for.
     std::unordered_map<CallId, JobKey> m_calls;
 };
 
