Record a case of the review: a slow worker makes tasks run twice at the same time

A start that is accepted after the agent has given it up isn't noted, so a refused repetition counts as a proof that nothing runs.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -7,6 +7,7 @@
 import base64
 import http.client
 import json
+import random
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -183,6 +184,7 @@
         self._last_end = 0
         self._sequence = 0
         self._stopping = False
+        self._slow_ms = None
         self.runs = []
         worker = self
 
@@ -195,6 +197,7 @@
                          "/v1/hold": worker.hold}
                 if self.path not in calls:
                     return self.answer(404)
+                worker.hesitate(self.path)
                 status, answer = calls[self.path](document)
                 return self.answer(status, dict(answer, clockMs=worker.clock()))
 
@@ -208,6 +211,20 @@
     def leave(self):
         self._stopping = True
 
+    def turn_slow(self, shortest_ms, longest_ms):
+        """From now on the worker carries out each order this much later than it arrives."""
+        self._slow_ms = (shortest_ms, longest_ms)
+        self._record.write(f"worker  {self.name} turns slow: {shortest_ms} to {longest_ms} ms")
+
+    def turn_well(self):
+        self._slow_ms = None
+        self._record.write(f"worker  {self.name} is no longer slow")
+
+    def hesitate(self, path):
+        slow = self._slow_ms
+        if slow and path != "/v1/hold":
+            time.sleep(random.uniform(*slow) / 1000)
+
     def _announce(self):
         while not self._stopping:
             self._sequence += 1
@@ -240,11 +257,11 @@
         with self._changed:
             if self._fenced(document):
                 return 409, {"reason": "fence"}
-            if (task, number) in self._running:
-                return 200, {}
             if number <= self._closed.get(task, 0):
                 self._extend(document)
                 return 409, {"reason": "old"}
+            if (task, number) in self._running:
+                return 200, {}
             if document["deadlineMs"] <= self.clock():
                 return 409, {"reason": "late"}
             self._extend(document)
@@ -263,7 +280,7 @@
             self._closed[task] = max(self._closed.get(task, 0), number)
             run = self._running.get((task, number))
             if run and run.stopped_at is None:
-                run.stopped_at = now() + STOP_MS / 2000
+                run.stopped_at = now() + STOP_MS * 0.8 / 1000
                 self._changed.notify_all()
             return 200, {}
 
