--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import random
+import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -44,6 +45,8 @@
 
 
 class Handler(BaseHTTPRequestHandler):
+    """Answers requests of one connection, which can be cut from outside."""
+
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
 
@@ -67,6 +70,27 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def __init__(self, *arguments):
+        self._open = set()
+        super().__init__(*arguments)
+
+    def process_request(self, request, client_address):
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def cut(self):
+        """Stops listening and ends all connections, as the end of the process would."""
+        self.socket.close()
+        for connection in list(self._open):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def handle_error(self, request, client_address):
         pass  # A peer that was killed or stopped has closed its connection.
 
@@ -162,9 +186,12 @@
 class Worker:
     """A worker: starts what it is told to start, under a lease, and lists what runs and has ended.
 
-    A task's spec is "run MILLISECONDS".
+    A task's spec is "run MILLISECONDS", or "crash": it takes the worker down as it starts, before
+    the answer. The worker is back after RESTART_S as another life.
     """
 
+    RESTART_S = 1.0
+
     def __init__(self, record, name, address, agent, zone, service, cpu=64000):
         self._record = record
         self.name = name
@@ -185,7 +212,9 @@
         self._sequence = 0
         self._stopping = False
         self._slow_ms = None
+        self._down = False
         self.runs = []
+        self.crashes = []
         worker = self
 
         class WorkerHandler(Handler):
@@ -199,8 +228,12 @@
                     return self.answer(404)
                 worker.hesitate(self.path)
                 status, answer = calls[self.path](document)
+                if status is None:
+                    self.close_connection = True
+                    return None
                 return self.answer(status, dict(answer, clockMs=worker.clock()))
 
+        self._handler = WorkerHandler
         self._server = serve(address, WorkerHandler)
         threading.Thread(target=self._end_runs, daemon=True).start()
         threading.Thread(target=self._announce, daemon=True).start()
@@ -227,6 +260,9 @@
 
     def _announce(self):
         while not self._stopping:
+            if self._down:
+                time.sleep(0.01)
+                continue
             self._sequence += 1
             body = {"service": self._service, "address": "%s:%d" % self._address,
                     "zone": self._zone, "version": "v1", "capacity": 8, "state": "ready",
@@ -264,6 +300,11 @@
                 return 200, {}
             if document["deadlineMs"] <= self.clock():
                 return 409, {"reason": "late"}
+            if self._down:
+                return None, {}
+            if document["spec"] == "crash":
+                self._crash(task, number)
+                return None, {}
             self._extend(document)
             run = Run(self.name, task, number, now(), int(document["spec"].split()[1]) / 1000)
             self._running[(task, number)] = run
@@ -272,6 +313,27 @@
             self._changed.notify_all()
             return 200, {}
 
+    def _crash(self, task, number):
+        self._record.write(f"worker  {self.name} crashes as it starts {task} run {number}")
+        self.crashes.append((now(), task, number))
+        self._down = True
+        for run in list(self._running.values()):
+            run.ended, run.how = now(), "crash"
+        self._running, self._closed, self._ends = {}, {}, []
+        self._token = self._lease_until = self._last_end = self._sequence = 0
+        server, self._server = self._server, None
+        threading.Thread(target=self._restart, args=(server,), daemon=True).start()
+
+    def _restart(self, server):
+        server.cut()
+        time.sleep(self.RESTART_S)
+        with self._changed:
+            self._begun = now()
+            self._born = int(time.time() * 1000)
+            self._server = serve(self._address, self._handler)
+            self._down = False
+            self._record.write(f"worker  {self.name} is back as another life")
+
     def stop(self, document):
         task, number = document["task"], document["run"]
         with self._changed:
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -125,9 +125,12 @@
     def front(self, entry):
         return entry.ip, self.port + 2
 
+    def control(self, agent):
+        return agent.ip, self.port + 4
+
     def start(self, machine, settings=""):
         role = self.deploy["roles"][machine.role]
-        listens = {"control": f"{machine.ip}:{self.port + 4}"}
+        listens = {"control": "%s:%d" % self.control(machine)}
         if machine.role == "entry":
             listens = {"front": f"{machine.ip}:{self.port + 2}",
                        "ready": f"{machine.ip}:{self.port + 3}"}
@@ -161,7 +164,7 @@
         for number, agent in enumerate(self.agents):
             address = (f"{self.net}.0.{number + 101}", self.port + 5)
             self.workers.append(Worker(self.record, f"i-{number + 1}", address,
-                                       (agent.ip, self.port + 4), agent.zone, SERVICE, self.cpu))
+                                       self.control(agent), agent.zone, SERVICE, self.cpu))
         until = time.monotonic() + 20
         for entry in self.entries:
             while not self._ready(entry):
