--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -428,7 +428,7 @@
                              leave_s or deadline_ms / 1000 + 0.3)
 
     def cancel(self, name, address, job):
-        return self._request(name, address, "DELETE", job, timeout=3)
+        return self._request(name, address, "DELETE", job, timeout=6)
 
 
 def job_of(milliseconds, count=1, steps=1, cpu=6200):
