--- a/source/base/runmessages.h
+++ b/source/base/runmessages.h
@@ -7,8 +7,11 @@
 #include "base/job.h"
 #include "base/strongid.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Bluebellquay {
@@ -98,6 +101,14 @@
     NotStarted = 5,
 };
 
+// Snake-case name as used in logs.
+constexpr std::string_view toString(RunResult result)
+{
+    constexpr std::array<std::string_view, 6> Names = {"",        "done", "failed",
+                                                       "stopped", "lost", "not_started"};
+    return Names[static_cast<std::size_t>(result)];
+}
+
 struct EndedRun
 {
     RunKey run;
--- a/source/core/dispatchlog.cpp
+++ b/source/core/dispatchlog.cpp
@@ -2,8 +2,6 @@
 
 #include "kernel/log.h"
 
-#include <array>
-
 namespace Bluebellquay {
 
 namespace {
@@ -12,10 +10,17 @@
 
 } // namespace
 
+void logAgentGivenUp(const ProcessInfo &agent, std::size_t runs, AgentGoneReason reason)
+{
+    LogEvent(LogLevel::Info, "agent_given_up")
+        .field("agent", agent.name)
+        .field("incarnation", toString(agent.incarnation))
+        .field("reason", reason == AgentGoneReason::Away ? "away" : "replaced")
+        .field("runs", runs);
+}
+
 void logRunEnded(const KeyedJob &job, const EndedRun &ended, std::string_view agent)
 {
-    constexpr std::array<std::string_view, 6> Results = {"",        "done", "failed",
-                                                         "stopped", "lost", "not_started"};
     // A job may have hundreds of returned orders; its job_ended line and the metrics count them.
     const bool returned = ended.end == RunResult::NotStarted;
     LogEvent(returned ? LogLevel::Debug : LogLevel::Info, "run_ended")
@@ -23,7 +28,7 @@
         .field("step", ended.run.step)
         .field("task", ended.run.index)
         .field("run", ended.run.run.value())
-        .field("result", Results[static_cast<std::size_t>(ended.end)])
+        .field("result", toString(ended.end))
         .field("agent", agent)
         .field("run_ms", ended.runTime / OneMillisecond)
         .field("expected_ms", job.estimate.runTimes[ended.run.step] / OneMillisecond);
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -1,7 +1,5 @@
 #include "core/rundispatcher.h"
 
-#include "core/dispatchlog.h"
-
 #include <algorithm>
 
 namespace Bluebellquay {
@@ -206,7 +204,7 @@
         // A settled worker runs nothing that an earlier incarnation of its agent started, so the
         // runs of that incarnation are over.
         for (const Incarnation incarnation : m_workers.replacedBy(agent))
-            expireAgent(now, incarnation, out);
+            expireAgent(now, incarnation, AgentGoneReason::Replaced, out);
     }
     dispatch(now, out);
 }
@@ -363,7 +361,7 @@
             // The timer may belong to an earlier absence of the agent.
             if (record != nullptr && !record->linked
                 && now >= record->unlinkedSince + m_settings.agentGoneAfter)
-                expireAgent(now, timer->agent, out);
+                expireAgent(now, timer->agent, AgentGoneReason::Away, out);
             continue;
         }
         KeyedJob *found = m_jobs.find(timer->task.job);
@@ -394,10 +392,14 @@
     dispatch(now, out);
 }
 
-void RunDispatcher::expireAgent(TimePoint now, Incarnation agent, DispatchOutbox &out)
+void RunDispatcher::expireAgent(TimePoint now, Incarnation agent, AgentGoneReason reason,
+                                DispatchOutbox &out)
 {
+    const std::vector<RunKey> runs = m_runsAtAgents.at(agent);
+    if (const WorkerRecord *record = m_workers.find(agent))
+        logAgentGivenUp(record->agent, runs.size(), reason);
     m_workers.remove(agent);
-    for (const RunKey &run : m_runsAtAgents.at(agent))
+    for (const RunKey &run : runs)
         runEnded(now, EndedRun{run, RunResult::Lost, Duration(0)}, agent, out);
 }
 
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -9,6 +9,7 @@
 
 #include "core/crashhistory.h"
 #include "core/crashisolation.h"
+#include "core/dispatchlog.h"
 #include "core/jobforecast.h"
 #include "core/joborder.h"
 #include "core/jobrefusal.h"
@@ -205,7 +206,7 @@
     // Removes a released job that has no runs left, and adds its successor if there is one.
     void removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out);
     // Removes an agent that has stopped all runs of this home, and counts these as lost.
-    void expireAgent(TimePoint now, Incarnation agent, DispatchOutbox &out);
+    void expireAgent(TimePoint now, Incarnation agent, AgentGoneReason reason, DispatchOutbox &out);
     // Refuses a job that has not started if it can't be served in time or at all. Returns whether
     // it did.
     bool refuseIfHopeless(TimePoint now, KeyedJob &job, DispatchOutbox &out);
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -39,7 +39,7 @@
 {
     if (!m_worker)
         return;
-    endAll(now, out);
+    endAll(now, EndEvidence::Left, out);
     m_worker.reset();
     m_listingReceived = false;
     m_mayRenewLease = false;
@@ -71,7 +71,7 @@
 void RunTracker::leaseExpired(TimePoint now, RunOutbox &out)
 {
     ++m_statistics.leasesExpired;
-    endAll(now, out);
+    endAll(now, EndEvidence::LeaseOver, out);
     m_listingReceived = false;
     reportRooms(now, out);
 }
@@ -87,7 +87,7 @@
     for (const ListedEnd &listed : account.ended) {
         const auto position = m_runs.find(listed.run);
         if (position != m_runs.end() && position->second.state != RunState::Waiting)
-            end(now, position, listed.end, out);
+            end(now, position, listed.end, EndEvidence::ListedEnd, out);
     }
     const std::set<RunKey> running(account.running.begin(), account.running.end());
     for (const RunKey &key : running) {
@@ -99,8 +99,8 @@
         if (position != m_runs.end())
             position->second.listed = true;
     }
-    for (const ListedEnd &missing : m_runs.endsOfMissing(account, running))
-        end(now, m_runs.find(missing.run), missing.end, out);
+    for (const ProvenEnd &missing : m_runs.endsOfMissing(account, running))
+        end(now, m_runs.find(missing.run), missing.end, missing.evidence, out);
     m_mayRenewLease = m_mayRenewLease || m_runs.foreignRuns() == 0;
     if (now >= m_nextStandstillCheck) {
         m_nextStandstillCheck = now + StandstillCheckInterval;
@@ -122,7 +122,7 @@
         suspend(now, "unhealthy", out);
     if (!refused)
         return;
-    end(now, position, RunResult::NotStarted, out);
+    end(now, position, RunResult::NotStarted, EndEvidence::StartRefused, out);
     startWaiting(now, out);
     reportRooms(now, out);
 }
@@ -180,7 +180,7 @@
         if (position == m_runs.end() || position->second.state != RunState::Waiting)
             continue;
         if (!keepPatient || !order.mayWait)
-            end(now, position, RunResult::NotStarted, out);
+            returnOrder(now, position, out);
     }
 }
 
@@ -191,7 +191,7 @@
         if (position == m_runs.end())
             continue;
         if (position->second.state == RunState::Waiting)
-            end(now, position, RunResult::NotStarted, out);
+            returnOrder(now, position, out);
         else
             m_calls.requestStop(now, key, position->second, out);
     }
@@ -223,7 +223,7 @@
         if (current->second.home != home)
             continue;
         if (current->second.state == RunState::Waiting)
-            end(now, current, RunResult::NotStarted, out);
+            returnOrder(now, current, out);
         else
             m_calls.requestStop(now, current->first, current->second, out);
     }
@@ -275,7 +275,7 @@
     for (auto position = waiting.begin(); position != waiting.end();) {
         const auto run = m_runs.find((position++)->second);
         if (now >= run->second.received + m_settings.longestWait)
-            end(now, run, RunResult::NotStarted, out);
+            returnOrder(now, run, out);
     }
     startWaiting(now, out);
     reportRooms(now, out);
@@ -314,8 +314,13 @@
     }
 }
 
+void RunTracker::returnOrder(TimePoint now, TrackedRuns::Runs::iterator position, RunOutbox &out)
+{
+    end(now, position, RunResult::NotStarted, EndEvidence::NotSent, out);
+}
+
 void RunTracker::end(TimePoint now, TrackedRuns::Runs::iterator position, RunResult how,
-                     RunOutbox &out)
+                     EndEvidence evidence, RunOutbox &out)
 {
     const RunKey key = position->first;
     const TrackedRun run = m_runs.remove(position);
@@ -338,25 +343,28 @@
         }
         if (suspendedBefore && !m_watch.onProbation())
             LogEvent(LogLevel::Info, "worker_resumed").field("worker", workerName());
-        m_statistics.count(how);
+        m_statistics.count(how, evidence);
+        if (evidence != EndEvidence::ListedEnd)
+            logRunEnd(workerName(), ended, evidence);
     }
     m_retainedEnds.keep(now, ended);
     m_timers.schedule(now + m_settings.endRetention, Timer{TimerKind::ForgetEnd, key});
     out.messages.emplace_back(run.home, RunsEnded{{ended}});
 }
 
-void RunTracker::endAll(TimePoint now, RunOutbox &out)
+void RunTracker::endAll(TimePoint now, EndEvidence evidence, RunOutbox &out)
 {
+    returnWaiting(now, out);
     while (!m_runs.empty()) {
         const auto position = m_runs.begin();
-        end(now, position, position->second.resultWithoutWorker(), out);
+        end(now, position, position->second.resultWithoutWorker(), evidence, out);
     }
 }
 
 void RunTracker::returnWaiting(TimePoint now, RunOutbox &out)
 {
     while (!m_runs.waiting().empty())
-        end(now, m_runs.find(m_runs.waiting().begin()->second), RunResult::NotStarted, out);
+        returnOrder(now, m_runs.find(m_runs.waiting().begin()->second), out);
 }
 
 void RunTracker::checkStandstill(TimePoint now, RunOutbox &out)
@@ -402,9 +410,9 @@
         const auto current = position++;
         TrackedRun &run = current->second;
         if (run.state == RunState::Waiting)
-            end(now, current, RunResult::NotStarted, out);
+            returnOrder(now, current, out);
         else if ((run.listed && !run.attempts.anyUnresolved()) || run.foreign())
-            end(now, current, RunResult::Lost, out);
+            end(now, current, RunResult::Lost, EndEvidence::Announced, out);
         else
             m_calls.stopOnReplacedWorker(now, current->first, run, out);
     }
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -11,7 +11,9 @@
 #pragma once
 
 #include "base/messages.h"
+#include "base/reasoncounts.h"
 #include "core/capacityreporter.h"
+#include "core/endevidence.h"
 #include "core/retainedends.h"
 #include "core/runcalls.h"
 #include "core/runoutbox.h"
@@ -53,9 +55,12 @@
     std::uint64_t lost = 0;
     std::uint64_t standstills = 0;
     std::uint64_t suspensions = 0;
+    // Runs that were started, by what is known of their end.
+    ReasonCounts<EndEvidence, AllEndEvidence.size()> evidence;
 
-    void count(RunResult end)
+    void count(RunResult end, EndEvidence by)
     {
+        evidence.add(by);
         done += end == RunResult::Done ? 1 : 0;
         failed += end == RunResult::Failed ? 1 : 0;
         stopped += end == RunResult::Stopped ? 1 : 0;
@@ -135,8 +140,11 @@
     };
 
     void startWaiting(TimePoint now, RunOutbox &out);
-    void end(TimePoint now, TrackedRuns::Runs::iterator position, RunResult how, RunOutbox &out);
-    void endAll(TimePoint now, RunOutbox &out);
+    void end(TimePoint now, TrackedRuns::Runs::iterator position, RunResult how,
+             EndEvidence evidence, RunOutbox &out);
+    void endAll(TimePoint now, EndEvidence evidence, RunOutbox &out);
+    // The run still waits: nothing of it was sent to the worker.
+    void returnOrder(TimePoint now, TrackedRuns::Runs::iterator position, RunOutbox &out);
     void returnWaiting(TimePoint now, RunOutbox &out);
     // Returns the orders of the message that still wait. With keepPatient, those whose home lets
     // them wait stay.
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -89,10 +89,10 @@
     return free;
 }
 
-std::vector<ListedEnd> TrackedRuns::endsOfMissing(const RunListing &listing,
+std::vector<ProvenEnd> TrackedRuns::endsOfMissing(const RunListing &listing,
                                                   const std::set<RunKey> &running) const
 {
-    std::vector<ListedEnd> ends;
+    std::vector<ProvenEnd> ends;
     for (const auto &[key, run] : m_runs) {
         if (running.contains(key))
             continue;
@@ -102,9 +102,10 @@
         // A confirmed run that is neither running nor listed as ended was forgotten by the worker.
         const bool forgotten = run.state == RunState::Running && listing.askedAt > run.confirmed;
         if (stopped)
-            ends.push_back({key, run.foreign() ? RunResult::Stopped : RunResult::NotStarted});
+            ends.push_back({key, run.foreign() ? RunResult::Stopped : RunResult::NotStarted,
+                            EndEvidence::MissingAfterStop});
         else if (forgotten && listing.unreadable == 0)
-            ends.push_back({key, RunResult::Lost});
+            ends.push_back({key, RunResult::Lost, EndEvidence::MissingAfterStart});
     }
     return ends;
 }
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/messages.h"
+#include "core/endevidence.h"
 #include "core/heldcapacity.h"
 #include "core/standstill.h"
 #include "core/startattempts.h"
@@ -115,7 +116,7 @@
     std::uint32_t foreignRuns() const { return m_foreignRuns; }
     // Ends of the runs that a listing shows to be over by not containing them. `running` are the
     // runs that it lists as running; those that it lists as ended must have been removed.
-    std::vector<ListedEnd> endsOfMissing(const RunListing &listing,
+    std::vector<ProvenEnd> endsOfMissing(const RunListing &listing,
                                          const std::set<RunKey> &running) const;
     std::vector<StartedRun> started() const;
     // Runs that the worker has confirmed, and that are not being stopped.
--- a/source/core/trackerlog.cpp
+++ b/source/core/trackerlog.cpp
@@ -32,6 +32,19 @@
         .field("youngest_ms", youngest);
 }
 
+void logRunEnd(std::string_view worker, const EndedRun &ended, EndEvidence evidence)
+{
+    LogEvent(LogLevel::Info, "run_end_inferred")
+        .field("worker", worker)
+        .field("job", jobKeyText(ended.run.job))
+        .field("step", ended.run.step)
+        .field("task", ended.run.index)
+        .field("run", ended.run.run.value())
+        .field("result", toString(ended.end))
+        .field("evidence", toString(evidence))
+        .field("run_ms", ended.runTime / OneMillisecond);
+}
+
 void logWorkerSuspended(TimePoint now, std::string_view worker, std::string_view reason,
                         std::size_t runs, const WorkerHealth &health)
 {
--- a/source/core/trackerlog.h
+++ b/source/core/trackerlog.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/runmessages.h"
+#include "core/endevidence.h"
 #include "core/workerhealth.h"
 
 #include <cstddef>
@@ -19,6 +20,9 @@
 void logWorkerUnavailable(TimePoint now, std::string_view worker, std::string_view reason,
                           std::vector<StartedRun> runs);
 
+// A started run has ended by other evidence than a listed end.
+void logRunEnd(std::string_view worker, const EndedRun &ended, EndEvidence evidence);
+
 // No orders are taken until a run has tried the worker.
 void logWorkerSuspended(TimePoint now, std::string_view worker, std::string_view reason,
                         std::size_t runs, const WorkerHealth &health);
--- a/source/net/connectionend.h
+++ b/source/net/connectionend.h
@@ -1,7 +1,7 @@
 // Why the plain HTTP server ended a connection, and how often each reason occurred.
 #pragma once
 
-#include "net/reasoncounts.h"
+#include "base/reasoncounts.h"
 
 #include <array>
 #include <cstdint>
--- a/source/net/unansweredrequest.h
+++ b/source/net/unansweredrequest.h
@@ -1,7 +1,7 @@
 // Requests that the plain HTTP server answered itself because their handler did not.
 #pragma once
 
-#include "net/reasoncounts.h"
+#include "base/reasoncounts.h"
 
 #include <array>
 #include <cstdint>
