Follow another life of a worker only after that life has answered

What callers saw: nothing; the same task ran on two workers at once, 8 or 9 runs of a worker at a time.

Cause: an announcement that names another worker, or another start of this one, was taken for proof that the present life of the worker is gone. The agent ended all its runs as lost, homes started them elsewhere, and the worker, which was up, ran them to their end. A DELETE did the same. Both are words of a third party: another writer sends them, or they are late.

A DELETE closes the worker to orders until it answers; its runs end as listed or with the lease. Why it works: only the worker, its successor or the clock can know that a run is over, and EndEvidence, which RunTracker demands for each end, has no value for anything else.

--- a/source/core/endevidence.h
+++ b/source/core/endevidence.h
@@ -19,21 +19,20 @@
     MissingAfterStart, // not in a listing that was asked for after the worker had confirmed the run
     MissingAfterStop,  // not in a listing that was asked for after the worker had confirmed a stop
     LeaseOver,         // every lease that the worker may have got has run out
-    Announced,         // another life of the worker was announced
-    Left,              // the worker was said to leave
+    NextLife,          // a later life of the worker has answered in its place
 };
 
 constexpr std::array AllEndEvidence{EndEvidence::NotSent,          EndEvidence::StartRefused,
                                     EndEvidence::ListedEnd,        EndEvidence::MissingAfterStart,
                                     EndEvidence::MissingAfterStop, EndEvidence::LeaseOver,
-                                    EndEvidence::Announced,        EndEvidence::Left};
+                                    EndEvidence::NextLife};
 
 // Snake-case name as used in logs and metric labels.
 constexpr std::string_view toString(EndEvidence evidence)
 {
     constexpr std::array<std::string_view, AllEndEvidence.size()> Names = {
         "not_sent",           "start_refused", "listed_end", "missing_after_start",
-        "missing_after_stop", "lease_over",    "announced",  "left"};
+        "missing_after_stop", "lease_over",    "next_life"};
     return Names[static_cast<std::size_t>(evidence)];
 }
 
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -35,11 +35,14 @@
     reportRooms(now, out);
 }
 
+void RunTracker::workerLeaves(TimePoint now, RunOutbox &out)
+{
+    closeUntilAnswer(now, "leaves", out);
+}
+
 void RunTracker::workerLeft(TimePoint now, RunOutbox &out)
 {
-    if (!m_worker)
-        return;
-    endAll(now, EndEvidence::Left, out);
+    returnWaiting(now, out);
     m_worker.reset();
     m_listingReceived = false;
     m_mayRenewLease = false;
@@ -58,14 +61,20 @@
 }
 
 void RunTracker::workerSilent(TimePoint now, RunOutbox &out)
+{
+    if (closeUntilAnswer(now, "silent", out))
+        ++m_statistics.workerSilences;
+}
+
+bool RunTracker::closeUntilAnswer(TimePoint now, std::string_view reason, RunOutbox &out)
 {
     if (!m_worker || !m_listingReceived || m_silent)
-        return;
-    ++m_statistics.workerSilences;
+        return false;
     m_silent = true;
-    logUnavailable(now, "silent");
+    logUnavailable(now, reason);
     returnWaiting(now, out);
     reportRooms(now, out);
+    return true;
 }
 
 void RunTracker::leaseExpired(TimePoint now, RunOutbox &out)
@@ -412,7 +421,7 @@
         if (run.state == RunState::Waiting)
             returnOrder(now, current, out);
         else if ((run.listed && !run.attempts.anyUnresolved()) || run.foreign())
-            end(now, current, RunResult::Lost, EndEvidence::Announced, out);
+            end(now, current, RunResult::Lost, EndEvidence::NextLife, out);
         else
             m_calls.stopOnReplacedWorker(now, current->first, run, out);
     }
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -73,9 +73,13 @@
 public:
     explicit RunTracker(RunTrackerSettings settings);
 
-    // The worker has announced itself, for the first time or again. Another identity means that
-    // everything that the previous worker ran is gone.
+    // The worker has announced itself, for the first time or again. With another identity than
+    // before it must have answered in the place of the previous life: everything that ran there is
+    // gone.
     void workerAnnounced(TimePoint now, const WorkerProfile &profile, RunOutbox &out);
+    // The worker was said to leave. No order is accepted until it answers; its runs may go on.
+    void workerLeaves(TimePoint now, RunOutbox &out);
+    // The worker has left: its runs have ended, or will with their lease.
     void workerLeft(TimePoint now, RunOutbox &out);
     // Nothing listens at the worker's address: it has crashed, or is cut off with its runs going
     // on. No order is accepted until it answers; its runs end with their lease or with its next
@@ -156,6 +160,8 @@
     {
         return m_worker ? std::string_view(m_worker->identity.name) : std::string_view();
     }
+    // Takes no orders until the worker answers again. Returns whether it took any before.
+    bool closeUntilAnswer(TimePoint now, std::string_view reason, RunOutbox &out);
     void logUnavailable(TimePoint now, std::string_view reason) const;
     void adoptForeignRun(TimePoint now, const RunKey &key, TimePoint askedAt, RunOutbox &out);
     // The worker was replaced by another one. Runs that the earlier one is known to have run are
@@ -173,6 +179,7 @@
     // A listing of the present worker has arrived, so that runs of earlier incarnations of this
     // agent are known.
     bool m_listingReceived = false;
+    // The worker does not answer, or was said to leave.
     bool m_silent = false;
     // A listing of the present worker showed no run of an earlier incarnation of this agent that is
     // still to be ended.
--- a/tests/net/testpeer.h
+++ b/tests/net/testpeer.h
@@ -1,14 +1,13 @@
-// A PeerNode of a test with all its handlers recorded, and a loop that runs until a condition
-// holds.
+// A PeerNode of a test with all its handlers recorded.
 #pragma once
 
 #include "kernel/metrics.h"
 #include "kernel/timerservice.h"
 #include "net/peernode.h"
+#include "net/testloop.h"
 
 #include <boost/asio/io_context.hpp>
 
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,20 +17,6 @@
 
 constexpr const char *Secret = "secret-of-the-tests";
 
-// Runs the event loop until the condition holds. The limit is only there to end a test that fails.
-inline bool runUntil(boost::asio::io_context &context, const std::function<bool()> &condition,
-                     std::chrono::seconds limit = std::chrono::seconds(30))
-{
-    const auto deadline = std::chrono::steady_clock::now() + limit;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > deadline)
-            return false;
-        context.restart();
-        context.run_one_for(std::chrono::milliseconds(20));
-    }
-    return true;
-}
-
 struct TestPeer
 {
     TestPeer(boost::asio::io_context &context, TimerService &timers, std::uint64_t incarnation,
--- a/tests/platform/foreigndatatest.cpp
+++ b/tests/platform/foreigndatatest.cpp
@@ -1,7 +1,6 @@
 // Guards against data of other writers: an odd entry names nothing to use, and the reader follows
 // the others on.
 #include "platform/advertisement.h"
-#include "platform/announcementorder.h"
 #include "platform/configdocument.h"
 #include "platform/jobdocument.h"
 #include "platform/workerdocument.h"
@@ -42,19 +41,6 @@
     CHECK_FALSE(namesWorker(announcement("1700000000000", "-1")));
 }
 
-TEST_CASE("a start announced in the future does not end the following of the worker that answers")
-{
-    AnnouncementOrder order;
-    const WorkerIdentity worker{"i-1", 1'700'000'000'000};
-    const WorkerIdentity odd{"i-1", 2'000'000'000'000};
-    CHECK(order.accept(worker, 4, false));
-    CHECK(order.accept(odd, 5, true));
-    CHECK(order.accept(worker, 5, false));
-    CHECK_FALSE(order.accept({"i-1", worker.startedAt - 1}, 90, true));
-    CHECK_FALSE(order.accept(worker, 4, true));
-    CHECK(order.latest() == worker);
-}
-
 TEST_CASE("an address to which no connection can be made names no worker and no entry")
 {
     CHECK(namesWorker(announcement("1", "4", "[fe80::1]:65535")));
--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -71,7 +71,7 @@
     call.method = "PUT";
     call.target = "/v1/instances/" + m_name;
     call.body = nlohmann::json{{"service", "archive"},
-                               {"address", "127.0.0.1:" + std::to_string(m_server->port())},
+                               {"address", address()},
                                {"zone", "fukuoka"},
                                {"version", "v1"},
                                {"capacity", 8},
@@ -252,6 +252,29 @@
 }
 
 void PlatformWorker::crash()
+{
+    forgetAll();
+    m_born += 1'000;
+    m_restart = m_timers.at(m_timers.now() + RestartTime, [this](TimePoint) { announce(); });
+}
+
+void PlatformWorker::leave()
+{
+    HttpCall call;
+    call.method = "DELETE";
+    call.target = "/v1/instances/" + m_name;
+    m_agent.call(std::move(call), [](const HttpReply &) {});
+    m_announcement.cancel();
+    forgetAll();
+    m_server.reset();
+}
+
+std::string PlatformWorker::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_server->port());
+}
+
+void PlatformWorker::forgetAll()
 {
     for (const auto &[task, run] : m_runs)
         m_judge.ended(task, false);
@@ -264,8 +287,6 @@
     m_token = 0;
     m_sequence = 0;
     m_still = false;
-    m_born += 1'000;
-    m_restart = m_timers.at(m_timers.now() + RestartTime, [this](TimePoint) { announce(); });
 }
 
 } // namespace Bluebellquay::Testing
--- a/tests/standins/platformworker.h
+++ b/tests/standins/platformworker.h
@@ -61,6 +61,10 @@
     // Everything that runs is gone; announces itself as another life after a while.
     void crash();
     void drain(bool draining) { m_draining = draining; }
+    // Says that it leaves, and is gone with everything that runs.
+    void leave();
+    std::string address() const;
+    std::uint64_t bornMs() const { return m_born; }
 
 private:
     struct Run
@@ -87,6 +91,8 @@
     };
 
     void announce();
+    // Everything that runs is gone, and nothing of before is known.
+    void forgetAll();
     void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     unsigned start(const std::string &body, std::string &refusal);
     void stop(const std::string &body);
