Note that a run has begun also when its start is accepted after it was given up

Callers' tasks ran twice at once when one worker answered its calls after 80 to 108 ms: the agent gave the start up after 90 ms and sent a stop, the worker accepted the start after that, and the home started the task on another worker while the first run was still being stopped.

Cause: RunCalls::startRefused counted the late 200 as settled, but noted that the run had begun only in the state Ordered. The worker refuses repeats of a run that is being stopped as old, so once the last repeat was refused, StartAttempts::allRefused held and the run ended as NotStarted with the evidence StartRefused.

An accepted or listed run is now confirmed in the state Stopping, too; the state remains. It holds its capacity and ends by the worker's listing, its lease or the next life of the worker. If the worker or its lease is gone, such a run counts as Lost instead of Stopped, as it had begun.

The same covers a start that was given up because the agent was held up while the answer lay unread: the answer is noted when it is read, and all other evidence of an end comes from the worker after the stop.

The test fails without the fix: runledgertest.cpp:327: FAILED: CHECK( ends().empty() ) runledgertest.cpp:328: FAILED: 64000 == 24000 runledgertest.cpp:331: FAILED: 5 == 3 The refused repeat after an unanswered start, checked here also after the timeout of the first call, passed before.

--- a/source/core/runcalls.cpp
+++ b/source/core/runcalls.cpp
@@ -66,7 +66,8 @@
     run.attempts.settled();
     statistics.startsNotSent += answer == StartAnswer::NotSent ? 1 : 0;
     if (answer == StartAnswer::Accepted) {
-        if (run.state == RunState::Ordered)
+        // Also one that is being stopped: its repetitions are refused while it still runs.
+        if (run.unconfirmed())
             run.confirm(now);
         return false;
     }
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -103,7 +103,7 @@
         const auto position = m_runs.find(key);
         if (position == m_runs.end())
             adoptForeignRun(now, key, account.askedAt, out);
-        else if (position->second.state == RunState::Ordered)
+        else if (position->second.unconfirmed())
             position->second.confirm(now);
         if (position != m_runs.end())
             position->second.listed = true;
--- a/source/core/startattempts.h
+++ b/source/core/startattempts.h
@@ -31,6 +31,7 @@
     void settled() { --m_unresolved; }
     // The worker has said that the run has begun.
     void begun() { m_begun = true; }
+    bool hasBegun() const { return m_begun; }
 
     bool givenUp(TimePoint now) const { return now >= m_first + GivenUpAfter; }
     // Calls that the worker may yet carry out, or may have carried out unseen.
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -20,7 +20,8 @@
 
 void TrackedRun::confirm(TimePoint now)
 {
-    state = RunState::Running;
+    if (state != RunState::Stopping)
+        state = RunState::Running;
     confirmed = now;
     attempts.begun();
     payload.clear();
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -65,7 +65,9 @@
                               const RunOrder &order);
     // Whether a previous incarnation of the agent started the run.
     bool foreign() const { return home == Incarnation(); }
-    // The worker has confirmed that it runs.
+    // A start has been sent, and the worker has not confirmed that the run has begun.
+    bool unconfirmed() const { return state != RunState::Waiting && !attempts.hasBegun(); }
+    // The worker has confirmed that it runs. A run that is being stopped remains so.
     void confirm(TimePoint now);
     // How the run has ended if its worker is gone. One that the worker has not confirmed may have
     // been refused, so it does not count as lost with the worker.
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -286,6 +286,8 @@
     pass(StartAttempts::RepeatInterval);
     ledger.advance(now, out);
     clear();
+    if (GENERATE(false, true))
+        ledger.startAnswered(now, key(0), StartAnswer::NoAnswer, out);
     // The first call had begun the run, which has failed already.
     ledger.startAnswered(now, key(0), StartAnswer::Refused, out);
     CHECK(ends().empty());
@@ -305,6 +307,30 @@
     CHECK(ledger.freeRoom().milliProcessors == 24'000);
 }
 
+// Guards against a second run beside one that begins while it is being stopped, also when its
+// answer lay unread while the agent was held up.
+TEST_CASE_METHOD(LedgerFixture,
+                 "a refused repeat does not end a run that has begun after it was given up")
+{
+    const bool listed = GENERATE(false, true);
+    order(0, 40'000);
+    pass(StartAttempts::RepeatInterval);
+    ledger.advance(now, out);
+    pass(StartAttempts::GivenUpAfter);
+    ledger.advance(now, out);
+    REQUIRE(out.stops.size() == 1);
+    clear();
+    if (listed)
+        account({key(0)}, {});
+    ledger.startAnswered(now, key(0), listed ? StartAnswer::Refused : StartAnswer::Accepted, out);
+    ledger.startAnswered(now, key(0), StartAnswer::Refused, out);
+    CHECK(ends().empty());
+    CHECK(ledger.freeRoom().milliProcessors == 24'000);
+    account({}, {{key(0), RunResult::Stopped}});
+    REQUIRE(ends().size() == 1);
+    CHECK(ends()[0].end == RunResult::Stopped);
+}
+
 TEST_CASE_METHOD(LedgerFixture,
                  "a late start may reach the next life of the worker, so it is stopped")
 {
