Play random schedules with one slow worker of six

The model worker takes a set delay for each call, takes the lease of a start that it refuses as old, as the users' page says, and no longer puts a stop in progress off when the stop is repeated. It refused runs that are being stopped already.

--- a/tests/dispatch/dispatchscheduletest.cpp
+++ b/tests/dispatch/dispatchscheduletest.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::uint64_t Seeds = 300;
+constexpr std::uint64_t SlowWorkerSeeds = 40;
 constexpr int Steps = 120;
 
 class RandomSchedule
@@ -83,36 +84,63 @@
 // Share of the calls to workers that get no answer; the seeds take the values in turn.
 constexpr std::array<double, 4> LostAnswers{0, 0.06, 0, 0.3};
 
-std::vector<std::string> playSeed(std::uint64_t seed, bool stopSilentHomes)
+KeyedSiteSettings settingsOf(std::uint64_t seed)
 {
     KeyedSiteSettings settings;
     settings.seed = seed;
     settings.lostAnswers = LostAnswers[seed % LostAnswers.size()];
-    settings.agentsStopSilentHomes = stopSilentHomes;
-    RandomSchedule schedule(settings);
-    return schedule.play();
+    return settings;
 }
 
-} // namespace
+// The agent of the slow worker gives each start up after 90 ms, about when it is answered.
+KeyedSiteSettings withSlowWorker(KeyedSiteSettings settings)
+{
+    settings.agents = 6;
+    settings.callDelays.resize(settings.agents);
+    settings.callDelays.front() = {80ms, 108ms};
+    return settings;
+}
 
-TEST_CASE("random fault schedules break no promise of keyed jobs")
+std::vector<std::string> play(const KeyedSiteSettings &settings)
+{
+    return RandomSchedule(settings).play();
+}
+
+void requireNoViolation(std::uint64_t seeds, KeyedSiteSettings (*settings)(std::uint64_t seed))
 {
     const char *only = std::getenv("BLUEBELLQUAY_DISPATCH_SEED");
     const std::uint64_t first = only != nullptr ? std::strtoull(only, nullptr, 10) : 1;
-    const std::uint64_t last = only != nullptr ? first : Seeds;
+    const std::uint64_t last = only != nullptr ? first : seeds;
     for (std::uint64_t seed = first; seed <= last; ++seed) {
-        const auto found = playSeed(seed, true);
+        const auto found = play(settings(seed));
         INFO("seed " << seed << (found.empty() ? "" : ": " + found.front()));
         REQUIRE(found.empty());
     }
 }
 
+} // namespace
+
+TEST_CASE("random fault schedules break no promise of keyed jobs")
+{
+    requireNoViolation(Seeds, settingsOf);
+}
+
+// Guards against a second run of a task whose start is accepted after it was given up.
+TEST_CASE("random fault schedules with one slow worker of six break no promise of keyed jobs")
+{
+    requireNoViolation(SlowWorkerSeeds,
+                       [](std::uint64_t seed) { return withSlowWorker(settingsOf(seed)); });
+}
+
 // Shows that the check can fail: unless agents stop the runs of silent homes, a job that is
 // submitted again runs beside its first run.
 TEST_CASE("agents that let runs of silent homes go on are found out")
 {
     std::size_t violations = 0;
-    for (std::uint64_t seed = 1; seed <= Seeds; ++seed)
-        violations += playSeed(seed, false).size();
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        KeyedSiteSettings settings = settingsOf(seed);
+        settings.agentsStopSilentHomes = false;
+        violations += play(settings).size();
+    }
     CHECK(violations > 0);
 }
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -97,6 +97,7 @@
         worker.room = m_settings.room;
         worker.speed = m_settings.speeds[i % m_settings.speeds.size()];
         worker.lostAnswers = m_settings.lostAnswers;
+        worker.callDelay = m_settings.callDelays[i % m_settings.callDelays.size()];
         agent->worker = std::make_unique<ModelWorker>(
             m_clock, m_random, m_judge, [this](const RunKey &run) { return m_tasks.at(run.job); },
             worker, [this, i] { crashWorker(i, m_settings.crashedWorkerRestart); });
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -28,6 +28,8 @@
     double lostAnswers = 0;
     // Speeds of the workers; the workers take the values in turn.
     std::vector<double> speeds{1};
+    // Delays of the calls to the workers, which take them in turn.
+    std::vector<CallDelay> callDelays{CallDelay()};
     ResourceNeed room{64'000, 128'000'000'000ULL, 0};
     // Data centres of the agents, which take them in turn.
     std::vector<std::string> dataCentres{"fukuoka"};
--- a/tests/dispatch/modelworker.cpp
+++ b/tests/dispatch/modelworker.cpp
@@ -91,7 +91,7 @@
     }
     // Answers on different connections overtake each other.
     std::uniform_int_distribution<Duration::rep> jitter(0, 4 * Way.count());
-    const TimePoint arrival = m_clock.now() + Way + Duration(jitter(m_random));
+    const TimePoint arrival = m_clock.now() + Way + Duration(jitter(m_random)) + drawCallDelay();
     const std::uint64_t life = m_bornMs;
     const TimePoint back = arrival + Way + Duration(jitter(m_random));
     m_clock.at(arrival, [this, life, call, answer, back] {
@@ -102,6 +102,15 @@
     });
 }
 
+Duration ModelWorker::drawCallDelay()
+{
+    const CallDelay &delay = m_settings.callDelay;
+    if (delay.most == Duration(0))
+        return Duration(0);
+    return Duration(std::uniform_int_distribution<Duration::rep>(delay.least.count(),
+                                                                 delay.most.count())(m_random));
+}
+
 void ModelWorker::start(const RunKey &run, std::uint64_t token,
                         const std::function<void(StartAnswer)> &answer)
 {
@@ -113,11 +122,15 @@
 
 StartAnswer ModelWorker::carryOutStart(const RunKey &run, std::uint64_t token, TimePoint deadline)
 {
-    const auto closed = m_closed.find({run.job, run.step, run.index});
-    if (token < m_token || deadline <= m_clock.now()
-        || (closed != m_closed.end() && run.run <= closed->second))
+    if (token < m_token || deadline <= m_clock.now())
         return StartAnswer::Refused;
     m_token = token;
+    // Also refuses a run that is being stopped. The lease is taken nevertheless.
+    const auto closed = m_closed.find({run.job, run.step, run.index});
+    if (closed != m_closed.end() && run.run <= closed->second) {
+        renew(deadline);
+        return StartAnswer::Refused;
+    }
     if (m_runs.contains(run))
         return StartAnswer::Accepted;
     ResourceNeed held;
@@ -164,7 +177,7 @@
             m_token = token;
             RunNumber &closed = m_closed[{run.job, run.step, run.index}];
             closed = std::max(closed, run.run);
-            if (!m_runs.contains(run))
+            if (!m_runs.contains(run) || m_runs.at(run).stopping)
                 return;
             const std::uint64_t generation = m_runs.at(run).generation = ++m_lastGeneration;
             m_runs.at(run).stopping = true;
--- a/tests/dispatch/modelworker.h
+++ b/tests/dispatch/modelworker.h
@@ -63,6 +63,13 @@
     std::size_t m_done = 0;
 };
 
+// Time before a worker carries a call out, drawn for each.
+struct CallDelay
+{
+    Duration least{0};
+    Duration most{0};
+};
+
 struct ModelWorkerSettings
 {
     std::string name;
@@ -72,6 +79,7 @@
     // Share of the calls that get no answer; half of them are carried out up to this much later.
     double lostAnswers = 0;
     Duration latest{3'000'000};
+    CallDelay callDelay;
     Duration lease{1'000'000};
 };
 
@@ -122,8 +130,9 @@
         std::function<void(const RunListing &, std::uint64_t)> answer;
     };
 
-    // Runs the call after the way to the worker; it may be lost or late.
+    // Runs the call after the way to the worker and the delay; it may be lost or late.
     void deliver(const std::function<void()> &call, const std::function<void()> &answer);
+    Duration drawCallDelay();
     StartAnswer carryOutStart(const RunKey &run, std::uint64_t token, TimePoint deadline);
     void scheduleEnd(const RunKey &run);
     void end(const RunKey &run, RunResult how);
