Count only the refusals that the users' page names as proof that a start did nothing

Any reply to a start other than 200 counted as a refusal. A start that was carried out and answered with another error, for example 500, 504 or a 409 without a readable reason, ended the run as NotStarted and its home started the task on another worker beside it.

--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -181,8 +182,61 @@
     bool m_answered = false;
 };
 
+// How the answer of a worker that replies to a start like this is reported.
+StartAnswer reportedAnswer(unsigned status, const std::string &body)
+{
+    boost::asio::io_context context;
+    TimerService timers(context);
+    HttpServerSettings settings;
+    settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
+    const auto server =
+        HttpServer::create(
+            context, timers, settings,
+            [&](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                if (request.target == "/v1/run-start")
+                    return exchange->respond({status, body, {}});
+                exchange->respond({200, R"({"clockMs":5,"running":[],"ended":[],"born":7})", {}});
+            })
+            .value();
+    std::optional<StartAnswer> reported;
+    bool listed = false;
+    WorkerClient client(context, timers, PlatformBounds(), 1,
+                        {[&](const RunKey &, StartAnswer answer) { reported = answer; },
+                         [](const RunKey &, bool) {}, [&](const RunListing &) { listed = true; },
+                         [] { return false; }, [] {}, [] {}, [] {}});
+    client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
+    while (!listed)
+        context.run_one();
+    client.start({RunKey{JobKey(1), 0, 0, RunNumber(1)}, "payload"});
+    while (!reported)
+        context.run_one();
+    return *reported;
+}
+
 } // namespace
 
+// Guards against a second run of a task whose start was carried out although the reply was an
+// error.
+TEST_CASE("only a refusal that the worker's interface names proves that a start did nothing")
+{
+    CHECK(reportedAnswer(200, R"({"clockMs":5})") == StartAnswer::Accepted);
+    for (const char *reason : {"fence", "old", "late", "room", "ticket"})
+        CHECK(reportedAnswer(409, nlohmann::json{{"reason", reason}}.dump())
+              == StartAnswer::Refused);
+    for (const unsigned status : {400U, 421U})
+        CHECK(reportedAnswer(status, "{}") == StartAnswer::Refused);
+    for (const unsigned status : {429U, 503U})
+        CHECK(reportedAnswer(status, "{}") == StartAnswer::Unhealthy);
+    for (const unsigned status : {202U, 404U, 408U, 500U, 502U, 504U}) {
+        CAPTURE(status);
+        CHECK(reportedAnswer(status, "{}") == StartAnswer::NoAnswer);
+    }
+    for (const char *body : {"", "{}", "unreadable", R"({"reason":7})", R"({"reason":"other"})"}) {
+        CAPTURE(body);
+        CHECK(reportedAnswer(409, body) == StartAnswer::NoAnswer);
+    }
+}
+
 TEST_CASE("an end that can't be read and is listed again and again is not asked for without pause")
 {
     boost::asio::io_context context;
