Stop all runs of an agent whose machine was suspended

Cause: RunTracker::machineSuspended() stopped only starts that were not confirmed. The lease and the timer for absent homes are counted by steady clocks, which leave a suspension out, so nothing else ended confirmed runs. An order that waited for room was started afterwards, too.

The agent now stops every run that it has started and returns every order that waits. A home that has not given the agent up orders these tasks again.

"no start is repeated after the machine was suspended" asserted that a confirmed run is not stopped, which is the fault; it asks for both stops now.

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -242,10 +242,10 @@
 
 void RunTracker::machineSuspended(TimePoint now, RunOutbox &out)
 {
-    for (auto &[key, run] : m_runs) {
-        if (run.state == RunState::Ordered)
-            m_calls.requestStop(now, key, run, out);
-    }
+    returnWaiting(now, out);
+    for (auto &[key, run] : m_runs)
+        m_calls.requestStop(now, key, run, out);
+    reportRooms(now, out);
 }
 
 void RunTracker::setEvacuated(TimePoint now, bool evacuated, RunOutbox &out)
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -105,9 +105,9 @@
     // orders.
     void homeSilent(TimePoint now, Incarnation home, RunOutbox &out);
 
-    // The machine was suspended for so long that homes may have given this agent up. The steady
-    // clock does not count that time, so starts that the worker has not confirmed are stopped
-    // instead of repeated.
+    // The machine was suspended for so long that homes may have given this agent up and ordered its
+    // runs elsewhere. The steady clocks of this agent and of the worker do not count that time, so
+    // neither the lease nor the absence of a home has ended these runs: all are stopped.
     void machineSuspended(TimePoint now, RunOutbox &out);
 
     // While evacuated, orders are returned: none is started. Runs that have been started go on to
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -272,8 +272,9 @@
     ledger.startAnswered(now, key(1), StartAnswer::Accepted, out);
     clear();
     ledger.machineSuspended(now, out);
-    REQUIRE(out.stops.size() == 1);
+    REQUIRE(out.stops.size() == 2);
     CHECK(out.stops[0].run == key(0));
+    CHECK(out.stops[1].run == key(1));
     clear();
     pass(StartAttempts::RepeatInterval);
     ledger.advance(now, out);
@@ -617,3 +618,22 @@
     REQUIRE(lastRoom() != nullptr);
     CHECK(lastRoom()->accepting);
 }
+
+// Homes count the runs of an agent that they have given up as lost; neither the lease nor a timer
+// of the agent ends them, since steady clocks leave a suspension out.
+TEST_CASE_METHOD(LedgerFixture, "no run goes on and no order waits after the machine was suspended")
+{
+    order(0, 40'000);
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    order(1, 40'000);
+    clear();
+    ledger.machineSuspended(now, out);
+    REQUIRE(out.stops.size() == 1);
+    CHECK(out.stops[0].run == key(0));
+    REQUIRE(ends().size() == 1);
+    CHECK(ends()[0].run == key(1));
+    CHECK(ends()[0].end == RunResult::NotStarted);
+    clear();
+    account({}, {{key(0), RunResult::Stopped}});
+    CHECK(out.starts.empty());
+}
