Keep a run whose repeated start the next life of the worker may have accepted

What could be seen: a run is reported lost with its worker while the next life of the worker runs it, so its home starts the task a second time.

Cause: replaceWorker() counts a run as lost if a listing has contained it and no call is open. An accepted start names no life of the worker. If the first call was carried out by the earlier life and a repeat was accepted by the next one, before its announcement, both conditions hold.

A listing names its life. For a start that was repeated, it now counts only if it was asked for after the latest accepted call. Otherwise the run is stopped at the next life and ends when that life's listing proves it. Starts with one call are treated as before.

Before the fix, in "a run is not lost with its worker if the next life may have accepted a repeat": runledgertest.cpp:638: CHECK( ends().empty() ) with expansion: false runledgertest.cpp:639: CHECK( out.stops.size() == 1 ) with expansion: 0 == 1

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -106,7 +106,7 @@
         else if (position->second.unconfirmed())
             position->second.confirm(now);
         if (position != m_runs.end())
-            position->second.listed = true;
+            position->second.list(account.askedAt);
     }
     for (const ProvenEnd &missing : m_runs.endsOfMissing(account, running))
         end(now, m_runs.find(missing.run), missing.end, missing.evidence, out);
@@ -126,6 +126,8 @@
     if (position == m_runs.end() || position->second.state == RunState::Waiting)
         return;
     TrackedRun &run = position->second;
+    if (answer == StartAnswer::Accepted)
+        run.accept(now);
     const bool refused = m_calls.startRefused(now, key, run, answer, m_statistics, out);
     if (answer == StartAnswer::Unhealthy)
         suspend(now, "unhealthy", out);
--- a/source/core/startattempts.h
+++ b/source/core/startattempts.h
@@ -33,6 +33,8 @@
     void begun() { m_begun = true; }
     bool hasBegun() const { return m_begun; }
 
+    // More than one call was sent.
+    bool repeated() const { return m_sent > 1; }
     bool givenUp(TimePoint now) const { return now >= m_first + GivenUpAfter; }
     // Calls that the worker may yet carry out, or may have carried out unseen.
     bool anyUnresolved() const { return m_unresolved > 0; }
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -27,6 +27,14 @@
     payload.clear();
 }
 
+void TrackedRun::accept(TimePoint now)
+{
+    if (!attempts.repeated())
+        return;
+    accepted = now;
+    listed = false;
+}
+
 RunResult TrackedRun::resultWithoutWorker() const
 {
     if (state == RunState::Waiting)
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -50,8 +50,12 @@
     // When the worker confirmed that it runs. Listings that were requested earlier may lack the
     // run, because answers on different connections overtake each other.
     TimePoint confirmed;
-    // A listing of the present worker has contained it.
+    // A listing of the present worker has contained it. If its start was repeated, one that was
+    // asked for after the latest accepted call: the answer to a start does not name the life of the
+    // worker that gives it, and the next life may have accepted the repeat.
     bool listed = false;
+    // When a repeated start was accepted last.
+    TimePoint accepted;
     StartAttempts attempts;
     unsigned stopsSent = 0;
     // When the worker confirmed a stop. A listing that was requested later and lacks the run proves
@@ -69,6 +73,10 @@
     bool unconfirmed() const { return state != RunState::Waiting && !attempts.hasBegun(); }
     // The worker has confirmed that it runs. A run that is being stopped remains so.
     void confirm(TimePoint now);
+    // The worker has accepted a start.
+    void accept(TimePoint now);
+    // A listing that was asked for then contains it.
+    void list(TimePoint askedAt) { listed = listed || askedAt >= accepted; }
     // How the run has ended if its worker is gone. One that the worker has not confirmed may have
     // been refused, so it does not count as lost with the worker.
     RunResult resultWithoutWorker() const;
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -637,3 +637,31 @@
     account({}, {{key(0), RunResult::Stopped}});
     CHECK(out.starts.empty());
 }
+
+TEST_CASE_METHOD(LedgerFixture,
+                 "a run is not lost with its worker if the next life may have accepted a repeat")
+{
+    order(0, 40'000);
+    pass(StartAttempts::RepeatInterval);
+    ledger.advance(now, out);
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    pass(1ms);
+    account({key(0)}, {});
+    pass(1ms);
+    // The answer names no life: the first call was accepted by one, this one by the next.
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    SECTION("a listing shows that the present life runs it")
+    {
+        account({key(0)}, {});
+        replaceWorker();
+        REQUIRE(ends().size() == 1);
+        CHECK(ends()[0].end == RunResult::Lost);
+    }
+    SECTION("only listings of before show it")
+    {
+        account({key(0)}, {}, now - 1ms);
+        replaceWorker();
+        CHECK(ends().empty());
+        CHECK(out.stops.size() == 1);
+    }
+}
