--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -9,6 +9,9 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <chrono>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -213,6 +216,51 @@
     return *reported;
 }
 
+// Answers its calls as a test says. Its client is told nothing.
+class ScriptedWorker
+{
+public:
+    using Answer = std::function<HttpResponse(const nlohmann::json &call)>;
+
+    explicit ScriptedWorker(Answer answer)
+        : m_answer(std::move(answer))
+    {
+        HttpServerSettings settings;
+        settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
+        m_server =
+            HttpServer::create(
+                context, timers, settings,
+                [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                    exchange->respond(m_answer(nlohmann::json::parse(request.body)));
+                })
+                .value();
+    }
+
+    void follow(std::uint64_t born)
+    {
+        client.follow({"i-1", born}, {boost::asio::ip::address_v4::loopback(), m_server->port()});
+    }
+    void pass(Duration span)
+    {
+        for (const TimePoint end = timers.now() + span; timers.now() < end;)
+            context.run_one_for(1ms);
+    }
+
+    boost::asio::io_context context;
+    TimerService timers{context};
+    PlatformBounds bounds;
+    WorkerClient client{context,
+                        timers,
+                        bounds,
+                        1,
+                        {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
+                         [](const RunListing &) {}, [] { return true; }, [] {}, [] {}, [] {}}};
+
+private:
+    Answer m_answer;
+    std::unique_ptr<HttpServer> m_server;
+};
+
 } // namespace
 
 // Guards against a second run of a task whose start was carried out although the reply was an
@@ -291,3 +339,21 @@
     VanishingWorker worker;
     CHECK(worker.foundGoneWithin(5s));
 }
+
+TEST_CASE("the next life of a worker that left gets a higher fencing token than late calls carry")
+{
+    std::vector<std::uint64_t> tokens;
+    ScriptedWorker worker([&](const nlohmann::json &call) {
+        tokens.push_back(call["fencingToken"].get<std::uint64_t>());
+        return HttpResponse{200, R"({"clockMs":5,"running":[],"ended":[],"born":7})", {}};
+    });
+    const auto callUnder = [&](std::uint64_t born) {
+        tokens.clear();
+        for (worker.follow(born); tokens.empty();)
+            worker.context.run_one_for(1ms);
+        return tokens.back();
+    };
+    const std::uint64_t before = callUnder(7);
+    worker.client.unfollow();
+    CHECK(callUnder(8) > before);
+}
