Take a running row that can't be read for a run that may be any

What could be seen: with a row in the list of running runs that can't be read, - a run whose stop was confirmed is counted as over, though the row may be this run, still being stopped; - an agent that has just started says that its worker is settled, so homes count the runs of its predecessor as lost, though the row may be one of these. It also renews the lease under it.

Cause: rows that can't be read counted only for runs that the worker seemed to have forgotten.

Such rows of the running list are counted apart from ends: an end that can't be read is no run that goes on, and may be listed for as long as the worker lives. While one is listed no stopped run ends, and the first listing of a worker doesn't count as one. The agent renews no lease before that, so an unknown run ends with its lease.

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -90,7 +90,9 @@
     if (!m_worker || !(account.worker == m_worker->identity))
         return;
     const bool first = !m_listingReceived || m_silent;
-    m_listingReceived = true;
+    // A running row that can't be read may be a run of an earlier incarnation. It ends with its
+    // lease, which is not renewed before.
+    m_listingReceived = m_listingReceived || account.unreadableRunning == 0;
     m_silent = false;
     m_lastListing = std::max(m_lastListing, account.askedAt);
     for (const ListedEnd &listed : account.ended) {
@@ -110,7 +112,7 @@
     }
     for (const ProvenEnd &missing : m_runs.endsOfMissing(account, running))
         end(now, m_runs.find(missing.run), missing.end, missing.evidence, out);
-    m_mayRenewLease = m_mayRenewLease || m_runs.foreignRuns() == 0;
+    m_mayRenewLease = m_mayRenewLease || (m_listingReceived && m_runs.foreignRuns() == 0);
     if (now >= m_nextStandstillCheck) {
         m_nextStandstillCheck = now + StandstillCheckInterval;
         checkStandstill(now, out);
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -176,8 +176,8 @@
     std::optional<WorkerProfile> m_worker;
     bool m_stopping = false;
     bool m_evacuated = false;
-    // A listing of the present worker has arrived, so that runs of earlier incarnations of this
-    // agent are known.
+    // A listing of the present worker has arrived whose running runs could all be read, so that
+    // runs of earlier incarnations of this agent are known.
     bool m_listingReceived = false;
     // The worker does not answer, or was said to leave.
     bool m_silent = false;
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -110,7 +110,7 @@
         const bool stopped = run.stopConfirmed && listing.askedAt >= *run.stopConfirmed;
         // A confirmed run that is neither running nor listed as ended was forgotten by the worker.
         const bool forgotten = run.state == RunState::Running && listing.askedAt > run.confirmed;
-        if (stopped)
+        if (stopped && listing.unreadableRunning == 0)
             ends.push_back({key, run.foreign() ? RunResult::Stopped : RunResult::NotStarted,
                             EndEvidence::MissingAfterStop});
         else if (forgotten && listing.unreadable == 0)
--- a/source/core/workercalls.h
+++ b/source/core/workercalls.h
@@ -72,8 +72,10 @@
     TimePoint askedAt;
     std::vector<RunKey> running;
     std::vector<ListedEnd> ended;
-    // Runs in the lists whose names could not be read.
+    // Rows of the lists that could not be read.
     std::uint32_t unreadable = 0;
+    // Part of them in the list of running runs.
+    std::uint32_t unreadableRunning = 0;
 };
 
 } // namespace Bluebellquay
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -665,3 +665,33 @@
         CHECK(out.stops.size() == 1);
     }
 }
+
+TEST_CASE_METHOD(LedgerFixture, "a running row that can't be read may be a run that is said to end")
+{
+    order(0, 40'000);
+    giveUp(0);
+    ledger.stopAnswered(now, key(0), true, out);
+    clear();
+    pass(1ms);
+    ledger.listingReceived(now, {profile.identity, now, {}, {}, 1, 1}, out);
+    CHECK(ends().empty());
+    // An end that can't be read is no run that goes on.
+    ledger.listingReceived(now, {profile.identity, now, {}, {}, 1, 0}, out);
+    CHECK(ends().size() == 1);
+}
+
+TEST_CASE_METHOD(LedgerFixture, "a running row that can't be read may be a run of an earlier agent")
+{
+    RunTracker started{RunTrackerSettings()};
+    started.homeUp(Home);
+    started.workerAnnounced(now, profile, out);
+    started.listingReceived(now, {profile.identity, now, {}, {}, 1, 1}, out);
+    CHECK_FALSE(started.mayRenewLease());
+    CHECK_FALSE(started.accepting(now));
+    REQUIRE(lastRoom() != nullptr);
+    CHECK_FALSE(lastRoom()->settled);
+    pass(50ms);
+    started.listingReceived(now, {profile.identity, now, {}, {}, 0, 0}, out);
+    CHECK(started.mayRenewLease());
+    CHECK(lastRoom()->settled);
+}
--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -211,6 +211,7 @@
         R"({"born":1,"running":[["x",2],5],"ended":[[60,"5c0e7a21d94b36f8.0.1.8",1,"odd",""]]})");
     REQUIRE(odd);
     CHECK(odd->unreadable == 3);
+    CHECK(odd->unreadableRunning == 2);
     CHECK(odd->lastEnd == 60);
 }
 
