End no missing run by a listing that may hold back ends

What could be seen: a run that is done is reported lost or not started, and its task runs again.

Cause: a worker lists 500 ends at a time. A run that is not among them and not running was taken for forgotten, or for one that was stopped before it began.

A listing with 500 ends or more ends no missing run; the next one, with these ends acknowledged, tells the rest.

--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -102,6 +102,9 @@
                                                   const std::set<RunKey> &running) const
 {
     std::vector<ProvenEnd> ends;
+    // A run that is missing may be among the ends that are yet to be listed.
+    if (listing.moreEnds)
+        return ends;
     for (const auto &[key, run] : m_runs) {
         if (running.contains(key))
             continue;
--- a/source/core/workercalls.h
+++ b/source/core/workercalls.h
@@ -76,6 +76,8 @@
     std::uint32_t unreadable = 0;
     // Part of them in the list of running runs.
     std::uint32_t unreadableRunning = 0;
+    // More runs may have ended than are listed.
+    bool moreEnds = false;
 };
 
 } // namespace Bluebellquay
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -695,3 +695,16 @@
     CHECK(started.mayRenewLease());
     CHECK(lastRoom()->settled);
 }
+
+TEST_CASE_METHOD(LedgerFixture, "a run whose end the worker has yet to list is not lost")
+{
+    order(0, 40'000);
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    clear();
+    pass(5ms);
+    ledger.listingReceived(now, {profile.identity, now, {}, {}, 0, 0, true}, out);
+    CHECK(ends().empty());
+    account({}, {{key(0), RunResult::Done}});
+    REQUIRE(ends().size() == 1);
+    CHECK(ends()[0].end == RunResult::Done);
+}
--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -215,6 +215,19 @@
     CHECK(odd->lastEnd == 60);
 }
 
+TEST_CASE("a listing with as many ends as a worker lists at a time is not taken for whole")
+{
+    for (const std::size_t ends : {499U, 500U}) {
+        std::string rows;
+        for (std::size_t number = 1; number <= ends; ++number)
+            rows += (number > 1 ? ",[" : "[") + std::to_string(number)
+                + R"(,"5c0e7a21d94b36f8.0.1.8",1,"done",""])";
+        const auto listing = decodeRunListing(R"({"born":1,"running":[],"ended":[)" + rows + "]}");
+        REQUIRE(listing);
+        CHECK(listing->moreEnds == (ends == 500));
+    }
+}
+
 TEST_CASE("task names are read back as they were written")
 {
     const RunKey run{JobKey(0x5c0e7a21d94b36f8), 3, 12, RunNumber(9)};
