--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -357,3 +357,31 @@
     worker.client.unfollow();
     CHECK(callUnder(8) > before);
 }
+
+// Taken for later than it is, the time of a clock that is slow makes a lease end after the agent
+// has counted its runs as lost.
+TEST_CASE("no lease is asked for that is longer than the longest one by a slow clock")
+{
+    constexpr std::int64_t PercentOfOurs = 98;
+    std::optional<TimePoint> read;
+    int leases = 0;
+    int tooLong = 0;
+    ScriptedWorker worker([&](const nlohmann::json &call) {
+        const TimePoint now = worker.timers.now();
+        if (!read) {
+            read = now;
+            return HttpResponse{200, R"({"clockMs":5000,"running":[],"ended":[],"born":7})", {}};
+        }
+        if (call.contains("deadlineMs")) {
+            const Duration lease = std::chrono::milliseconds(call["deadlineMs"].get<int>() - 5'000);
+            const Duration clock = (now - *read) * PercentOfOurs / 100;
+            ++leases;
+            tooLong += lease > clock + worker.bounds.longestLease ? 1 : 0;
+        }
+        return HttpResponse{503, {}, {}};
+    });
+    worker.follow(7);
+    worker.pass(700ms);
+    CHECK(leases > 0);
+    CHECK(tooLong == 0);
+}
