Send no call whose time was over when its connection came

What could be seen: an agent that was paused while it connected to its worker sends a start when it goes on, after the call has timed out and the lease that it asks for is over. A life of the worker with a new clock can't tell that the start is late.

Cause: the connection is reported before the timeout after a pause, and the call was sent then.

The call ends as not sent. Before the fix, in "a call is not sent if its time was over when the connection came": httptest.cpp:242: CHECK( reply->end == HttpCallEnd::NotSent ) with expansion: 2 == 1

--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -120,6 +120,8 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
     Callback m_callback;
     TimerSubscription m_timeout;
+    // When the time of the present call is over.
+    TimePoint m_deadline;
     bool m_connected = false;
     // Something of the present call may have reached the server.
     bool m_sent = false;
@@ -145,8 +147,8 @@
     m_request.body() = std::move(call.body);
     m_request.keep_alive(true);
     m_request.prepare_payload();
-    m_timeout = m_state->timers.at(m_state->timers.now() + call.timeout,
-                                   [this](TimePoint now) { timedOut(now); });
+    m_deadline = m_state->timers.now() + call.timeout;
+    m_timeout = m_state->timers.at(m_deadline, [this](TimePoint now) { timedOut(now); });
     if (m_connected)
         send();
     else
@@ -184,6 +186,9 @@
                                if (error)
                                    return self->finish(
                                        notSent(error == asio::error::connection_refused), false);
+                               // The process was held up meanwhile.
+                               if (self->m_state->timers.now() >= self->m_deadline)
+                                   return self->finish(notSent(false), false);
                                self->m_connected = true;
                                detectSilence(self->m_socket);
                                self->send();
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -232,6 +232,18 @@
     CHECK(reply->answered(200));
 }
 
+// An agent that was paused would send a start late, to a life of the worker that can't tell.
+TEST_CASE_METHOD(HttpFixture, "a call is not sent if its time was over when the connection came")
+{
+    std::optional<HttpReply> reply;
+    client->call({"POST", "/", "{}", {}, 20ms}, [&](HttpReply got) { reply = std::move(got); });
+    std::this_thread::sleep_for(60ms);
+    until([&] { return reply.has_value(); });
+    CHECK(reply->end == HttpCallEnd::NotSent);
+    pass(50ms);
+    CHECK(requests.empty());
+}
+
 TEST_CASE_METHOD(HttpFixture, "a call without a listener was not sent")
 {
     client.emplace(context, timers, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 1));
