--- a/tests/platform/platformsettingstest.cpp
+++ b/tests/platform/platformsettingstest.cpp
@@ -155,3 +155,14 @@
     longLease.longestLease = 1500ms;
     CHECK_FALSE(accepted(longLease));
 }
+
+TEST_CASE("the runs of a home that is gone end before a resubmission, despite a short suspension")
+{
+    PlatformBounds bounds;
+    for (const Duration resubmission : {Duration(1100ms), Duration(1300ms), Duration(4s)}) {
+        bounds.resubmission = resubmission;
+        const Duration limit = suspensionLimit(bounds);
+        CHECK(limit > Duration(0));
+        CHECK(SilenceTimeout + AbsenceGrace + bounds.stopDuration + limit <= resubmission);
+    }
+}
