Send the stops of released jobs again on each new link to an agent

A caller got 504 while the link to the agent broke for a moment, submitted again elsewhere 1.3 s later, and the task ran twice at once. A home sent StopRuns once: lost with the link, it was never repeated, and an agent whose link is back within its grace of 250 ms leaves the run alone.

agentUp now repeats the stops of all runs that the home still counts at that agent and whose job is released, until their ends arrive.

KeyedSite gets links that break at once or are replaced, callers that submit again after their deadline, and a grace that counts from the latest end of a link, as the agent process counts it.

--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -180,6 +180,7 @@
 {
     m_workers.linkUp(agent);
     out.messages.emplace_back(agent.incarnation, RunsAtAgent{m_runsAtAgents.at(agent.incarnation)});
+    repeatStops(agent.incarnation, out);
     dispatch(now, out);
 }
 
@@ -340,6 +341,17 @@
         out.messages.emplace_back(agent, std::move(message));
 }
 
+void RunDispatcher::repeatStops(Incarnation agent, DispatchOutbox &out) const
+{
+    StopRuns stops;
+    for (const RunKey &run : m_runsAtAgents.at(agent)) {
+        if (m_jobs.at(run.job).released)
+            stops.runs.push_back(run);
+    }
+    if (!stops.runs.empty())
+        out.messages.emplace_back(agent, std::move(stops));
+}
+
 void RunDispatcher::removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out)
 {
     std::optional<JobTable::Drained> drained = m_jobs.removeIfDrained(key);
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -145,7 +145,8 @@
     // that its agents have stopped its runs, and when it is about to exit.
     void abandonAll(TimePoint now, DispatchOutbox &out);
 
-    // The link to the agent came up. The agent is asked about the runs it should have.
+    // The link to the agent came up. The agent is asked about the runs it should have, and told
+    // again to stop those of released jobs.
     void agentUp(TimePoint now, const ProcessInfo &agent, DispatchOutbox &out);
     // The link to the agent broke. Its runs count as lost after agentGoneAfter, unless it returns.
     void agentDown(TimePoint now, Incarnation agent);
@@ -203,6 +204,8 @@
     void finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out);
     // Stops the runs of the job. The job is removed when its last run has ended.
     void release(KeyedJob &job, DispatchOutbox &out);
+    // The stops of released jobs may have been lost with the agent's previous link.
+    void repeatStops(Incarnation agent, DispatchOutbox &out) const;
     // Removes a released job that has no runs left, and adds its successor if there is one.
     void removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out);
     // Removes an agent that has stopped all runs of this home, and counts these as lost.
--- a/tests/dispatch/dispatchscheduletest.cpp
+++ b/tests/dispatch/dispatchscheduletest.cpp
@@ -144,3 +144,50 @@
     }
     CHECK(violations > 0);
 }
+
+namespace {
+
+constexpr std::uint64_t BrokenLinkSeeds = 40;
+
+// Callers give up at their deadline and submit again elsewhere, while links break for up to this
+// long or are replaced.
+std::vector<std::string> playBrokenLinks(std::uint64_t seed, Duration longest)
+{
+    KeyedSiteSettings settings;
+    settings.seed = seed;
+    settings.submissionsAfterDeadline = 2;
+    KeyedSite site(settings);
+    const auto pick = [&](Duration::rep low, Duration::rep high) {
+        return std::uniform_int_distribution<Duration::rep>(low, high)(site.random());
+    };
+    const auto entry = [&] { return static_cast<std::size_t>(pick(0, 2)); };
+    const auto agent = [&] { return static_cast<std::size_t>(pick(0, 3)); };
+    for (int i = 0; i < Steps; ++i) {
+        ModelTask task;
+        task.need.milliProcessors = static_cast<std::uint32_t>(pick(1'000, 8'000));
+        task.runTime = Duration(pick(200'000, 4'000'000));
+        site.submit(entry(), 1, task, task.runTime, Duration(pick(100'000, 1'000'000)));
+        site.run(Duration(pick(1'000, 40'000)));
+        if (pick(0, 9) == 0)
+            site.replaceLink(entry(), agent());
+        // Of all links, some 30% are down at a time.
+        if (pick(0, longest / Duration(150ms)) == 0)
+            site.breakLink(entry(), agent(), Duration(pick(0, longest.count())));
+    }
+    site.run(12s);
+    return site.violations();
+}
+
+} // namespace
+
+// Guards against two overlapping runs of a task: stops were lost with links that were back within
+// the agents' grace. The longer breaks make homes and agents give each other up.
+TEST_CASE("jobs that are given up while links break run once at a time")
+{
+    const Duration longest = GENERATE(Duration(150ms), Duration(3s));
+    for (std::uint64_t seed = 1; seed <= BrokenLinkSeeds; ++seed) {
+        const auto found = playBrokenLinks(seed, longest);
+        INFO("seed " << seed << (found.empty() ? "" : ": " + found.front()));
+        REQUIRE(found.empty());
+    }
+}
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -72,7 +72,9 @@
     Duration declared{0};
     QueueRule rule;
     TimePoint first;
+    Duration timeout{0};
     TimePoint deadline;
+    unsigned submissionsAfterDeadline = 0;
     std::size_t entry = 0;
     CallId id;
     bool open = false;
@@ -370,8 +372,9 @@
             continue;
         m_clock.at(m_clock.now() + LinkLatency,
                    [this, entry, index, to, from = m_entries[entry]->incarnation,
-                    message = std::move(message)] {
-                       if (m_agents[index]->incarnation != to || !m_links.contains({entry, index}))
+                    link = linkNumber(entry, index), message = std::move(message)] {
+                       if (m_agents[index]->incarnation != to || !m_links.contains({entry, index})
+                           || linkNumber(entry, index) != link)
                            return;
                        if (const auto *notice = std::get_if<EvacuationNotice>(&message))
                            return m_agents[index]->evacuations->offerFromPeer(from, *notice);
@@ -396,8 +399,9 @@
             continue;
         m_clock.at(m_clock.now() + LinkLatency,
                    [this, index, agent, to, from = m_agents[agent]->incarnation,
-                    message = std::move(message)] {
-                       if (m_entries[index]->incarnation != to || !m_links.contains({index, agent}))
+                    link = linkNumber(index, agent), message = std::move(message)] {
+                       if (m_entries[index]->incarnation != to || !m_links.contains({index, agent})
+                           || linkNumber(index, agent) != link)
                            return;
                        if (const auto *notice = std::get_if<EvacuationNotice>(&message))
                            return m_entries[index]->evacuations->offerFromPeer(from, *notice);
@@ -427,6 +431,7 @@
 void KeyedSite::linkUp(std::size_t entry, std::size_t agent)
 {
     m_links.insert({entry, agent});
+    ++m_linkUps[{entry, agent}];
     m_agents[agent]->evacuations->peerUp(m_entries[entry]->incarnation);
     m_entries[entry]->evacuations->peerUp(m_agents[agent]->incarnation);
     driveAgent(agent, [&](RunTracker &tracker, RunOutbox &) {
@@ -454,15 +459,17 @@
     });
     if (!m_settings.agentsStopSilentHomes)
         return;
-    m_clock.at(m_clock.now() + AbsenceGrace,
-               [this, entry, agent, home, life = m_agents[agent]->life] {
-                   const bool back =
-                       m_entries[entry]->incarnation == home && m_links.contains({entry, agent});
-                   if (!back && m_agents[agent]->life == life)
-                       driveAgent(agent, [&](RunTracker &tracker, RunOutbox &out) {
-                           tracker.homeSilent(m_clock.now(), home, out);
-                       });
-               });
+    m_clock.at(
+        m_clock.now() + AbsenceGrace,
+        [this, entry, agent, home, life = m_agents[agent]->life, link = linkNumber(entry, agent)] {
+            // A link that has broken again since counts from its latest end.
+            const bool back =
+                m_entries[entry]->incarnation == home && linkNumber(entry, agent) != link;
+            if (!back && m_agents[agent]->life == life)
+                driveAgent(agent, [&](RunTracker &tracker, RunOutbox &out) {
+                    tracker.homeSilent(m_clock.now(), home, out);
+                });
+        });
 }
 
 JobKey KeyedSite::submit(std::size_t entry, std::uint32_t tasks, const ModelTask &task,
@@ -470,8 +477,16 @@
 {
     const JobKey job(++m_lastJob);
     m_tasks[job] = task;
-    m_calls[job] =
-        Call{tasks, declared, rule, m_clock.now(), m_clock.now() + timeout, entry, {}, true, 0};
+    Call call;
+    call.tasks = tasks;
+    call.declared = declared;
+    call.rule = rule;
+    call.first = m_clock.now();
+    call.timeout = timeout;
+    call.deadline = call.first + timeout;
+    call.submissionsAfterDeadline = m_settings.submissionsAfterDeadline;
+    call.open = true;
+    m_calls[job] = call;
     m_ends[job];
     submitTo(job, entry);
     return job;
@@ -525,8 +540,13 @@
     if (!call.open || call.id != answer.call)
         return;
     // The caller submits again after an unknown outcome.
-    if (answer.answer.outcome == Outcome::Unknown
-        && m_clock.now() + ResubmissionDelay < call.deadline) {
+    const bool unknown = answer.answer.outcome == Outcome::Unknown;
+    const TimePoint next = m_clock.now() + ResubmissionDelay;
+    if (unknown && next >= call.deadline && call.submissionsAfterDeadline > 0) {
+        --call.submissionsAfterDeadline;
+        call.deadline = next + call.timeout;
+    }
+    if (unknown && next < call.deadline) {
         resubmitLater(job, entry);
         return;
     }
@@ -587,6 +607,20 @@
     m_clock.at(until + Silence, [this, entry, agent] { relinkLater(entry, agent); });
 }
 
+void KeyedSite::breakLink(std::size_t entry, std::size_t agent, Duration span)
+{
+    TimePoint &until = m_cutUntil[{entry, agent}];
+    until = std::max(until, m_clock.now() + span);
+    linkDown(entry, agent);
+    relinkLater(entry, agent);
+}
+
+void KeyedSite::replaceLink(std::size_t entry, std::size_t agent)
+{
+    if (m_links.contains({entry, agent}))
+        linkUp(entry, agent);
+}
+
 void KeyedSite::standStill(std::size_t agent, Duration span)
 {
     m_agents[agent]->worker->standStill(true);
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -35,6 +35,9 @@
     std::vector<std::string> dataCentres{"fukuoka"};
     // Time after which a worker that a task has crashed is back.
     Duration crashedWorkerRestart{3'200'000};
+    // Number of times that a caller whose deadline has passed without a known outcome submits its
+    // job again, with as much time as before.
+    unsigned submissionsAfterDeadline = 0;
     // Switched off by a test that shows that the check of the runs notices it.
     bool agentsStopSilentHomes = true;
 };
@@ -72,6 +75,12 @@
     void killEntry(std::size_t index, Duration down);
     void killAgent(std::size_t index, Duration down);
     void cut(std::size_t entry, std::size_t agent, Duration span);
+    // Both sides notice at once that the link breaks; it is back 50 ms after the span. Messages on
+    // their way are lost.
+    void breakLink(std::size_t entry, std::size_t agent, Duration span);
+    // A new link takes the place of one that is up, without a break in between. Messages on their
+    // way are lost.
+    void replaceLink(std::size_t entry, std::size_t agent);
     void standStill(std::size_t agent, Duration span);
     // Without a span, the worker is back after 200 ms.
     void crashWorker(std::size_t index, std::optional<Duration> down = std::nullopt);
@@ -119,6 +128,12 @@
     void hold(std::size_t index, std::uint64_t life, std::size_t slot);
     void reissueOvertaken(std::size_t index, std::size_t reporter);
     void look(std::size_t index, std::uint64_t life);
+    // Number of the present or latest link; messages of an earlier one are lost.
+    std::uint64_t linkNumber(std::size_t entry, std::size_t agent) const
+    {
+        const auto position = m_linkUps.find({entry, agent});
+        return position != m_linkUps.end() ? position->second : 0;
+    }
     void linkUp(std::size_t entry, std::size_t agent);
     void linkDown(std::size_t entry, std::size_t agent);
     void relinkLater(std::size_t entry, std::size_t agent);
@@ -145,6 +160,8 @@
     std::map<std::size_t, TimePoint> m_storeCutUntil;
     // Links that are up, as pairs of entry and agent.
     std::set<std::pair<std::size_t, std::size_t>> m_links;
+    // Number of times that the link of a pair came up.
+    std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> m_linkUps;
     // Time until which the link of a pair is cut.
     std::map<std::pair<std::size_t, std::size_t>, TimePoint> m_cutUntil;
 };
--- a/tests/dispatch/rundispatchertest.cpp
+++ b/tests/dispatch/rundispatchertest.cpp
@@ -559,3 +559,29 @@
     CHECK(out.answers.empty());
     CHECK(orders().size() == 2);
 }
+
+// Guards against two overlapping runs of a task: a stop that was lost with its link left the run
+// going beside that of the repeated submission (review/1).
+TEST_CASE_METHOD(DispatcherFixture, "the stops of released jobs are sent again on each new link")
+{
+    const bool brokenBefore = GENERATE(false, true);
+    link(Agent, "a");
+    const CallId call = submit(1, 2);
+    submit(2, 1);
+    const auto sent = orders();
+    REQUIRE(sent.size() == 3);
+    if (brokenBefore)
+        dispatcher.agentDown(now, Agent);
+    dispatcher.callerLeft(now, call, out);
+    if (!brokenBefore)
+        dispatcher.agentDown(now, Agent);
+    for (int links = 0; links < 2; ++links) {
+        clear();
+        link(Agent, "a");
+        CHECK(stops() == 2);
+    }
+    ended(Agent, sent[0].second, RunResult::Stopped);
+    clear();
+    link(Agent, "a");
+    CHECK(stops() == 1);
+}
