Report a run that had begun as lost, not as never started, when it is missing after a stop

A run whose start was accepted shortly before its worker was replaced is stopped in the new life, and ends when a listing there lacks it. Its home was told NotStarted, so the crash of a worker under a task that had just begun was not counted for the task, and the logs named the run as never started.

One that the worker has accepted or listed is Lost now. When a run ends, and by which evidence, has not changed.

--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -42,6 +42,13 @@
     return confirmed > TimePoint() ? RunResult::Lost : RunResult::Stopped;
 }
 
+RunResult TrackedRun::resultIfMissingAfterStop() const
+{
+    if (foreign())
+        return RunResult::Stopped;
+    return attempts.hasBegun() ? RunResult::Lost : RunResult::NotStarted;
+}
+
 bool TrackedRuns::anyOf(Incarnation home) const
 {
     return std::any_of(m_runs.begin(), m_runs.end(),
@@ -114,8 +121,7 @@
         // A confirmed run that is neither running nor listed as ended was forgotten by the worker.
         const bool forgotten = run.state == RunState::Running && listing.askedAt > run.confirmed;
         if (stopped && listing.unreadableRunning == 0)
-            ends.push_back({key, run.foreign() ? RunResult::Stopped : RunResult::NotStarted,
-                            EndEvidence::MissingAfterStop});
+            ends.push_back({key, run.resultIfMissingAfterStop(), EndEvidence::MissingAfterStop});
         else if (forgotten && listing.unreadable == 0)
             ends.push_back({key, RunResult::Lost, EndEvidence::MissingAfterStart});
     }
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -80,6 +80,9 @@
     // How the run has ended if its worker is gone. One that the worker has not confirmed may have
     // been refused, so it does not count as lost with the worker.
     RunResult resultWithoutWorker() const;
+    // How the run has ended if the worker does not list it after a stop was confirmed. One that has
+    // begun ended with an earlier life of the worker.
+    RunResult resultIfMissingAfterStop() const;
 };
 
 class TrackedRuns
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -346,7 +346,8 @@
     CHECK(out.look);
     pass(1ms);
     account({}, {});
-    CHECK(ends().size() == 1);
+    REQUIRE(ends().size() == 1);
+    CHECK(ends()[0].end == RunResult::Lost);
 }
 
 TEST_CASE_METHOD(LedgerFixture, "runs of a silent home are stopped, its waiting orders dropped")
