Stop the runs that a home no longer counts at an agent

A home that has given an agent up counts its runs there as lost and orders their tasks elsewhere. If the agent still had them (worker and agent suspended together, so that no lease ran out), they went on beside the new runs after the link was back, since the home's question names only what the home still counts.

The question is the first message on a link, and orders of the earlier link can't arrive after it. So a run of that home that it doesn't name is over for the home, and the agent stops it or returns its order.

Failing first, on the unfixed code: runledgertest "REQUIRE( out.stops.size() == 1 ) ... 0 == 1".

--- a/source/base/runmessages.h
+++ b/source/base/runmessages.h
@@ -83,7 +83,8 @@
 };
 
 // Home to agent, on each new link: the runs that the home believes to be at the agent. The agent
-// repeats the ends that may have been lost with the previous link.
+// repeats the ends that may have been lost with the previous link, and stops the runs of this home
+// that it does not name.
 struct RunsAtAgent
 {
     std::vector<RunKey> runs;
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -214,6 +214,8 @@
 
 void RunTracker::handle(TimePoint now, Incarnation home, const RunsAtAgent &message, RunOutbox &out)
 {
+    // The home counts the others as over, and may have ordered their tasks elsewhere.
+    stopOthers(now, home, {message.runs.begin(), message.runs.end()}, out);
     RunsEnded ended;
     for (const RunKey &key : message.runs) {
         if (m_runs.contains(key))
@@ -225,23 +227,31 @@
     }
     if (!ended.runs.empty())
         out.messages.emplace_back(home, std::move(ended));
+    startWaiting(now, out);
     m_reports.tell(now, home, describeRoom(now), out.messages);
+    reportRooms(now, out);
 }
 
 void RunTracker::homeSilent(TimePoint now, Incarnation home, RunOutbox &out)
 {
     m_reports.homeGone(home);
+    stopOthers(now, home, {}, out);
+    startWaiting(now, out);
+    reportRooms(now, out);
+}
+
+void RunTracker::stopOthers(TimePoint now, Incarnation home, const std::set<RunKey> &kept,
+                            RunOutbox &out)
+{
     for (auto position = m_runs.begin(); position != m_runs.end();) {
         const auto current = position++;
-        if (current->second.home != home)
+        if (current->second.home != home || kept.contains(current->first))
             continue;
         if (current->second.state == RunState::Waiting)
             returnOrder(now, current, out);
         else
             m_calls.requestStop(now, current->first, current->second, out);
     }
-    startWaiting(now, out);
-    reportRooms(now, out);
 }
 
 void RunTracker::machineSuspended(TimePoint now, RunOutbox &out)
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -24,6 +24,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -153,6 +154,8 @@
     // Returns the orders of the message that still wait. With keepPatient, those whose home lets
     // them wait stay.
     void returnOrders(TimePoint now, const StartRuns &message, bool keepPatient, RunOutbox &out);
+    // Stops the runs of the home and returns its waiting orders, except for those that are kept.
+    void stopOthers(TimePoint now, Incarnation home, const std::set<RunKey> &kept, RunOutbox &out);
     void checkStandstill(TimePoint now, RunOutbox &out);
     void suspend(TimePoint now, std::string_view reason, RunOutbox &out);
     void logSuspension(TimePoint now, std::string_view reason) const;
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Incarnation Home{5};
+constexpr Incarnation OtherHome{6};
 constexpr JobKey Job{0xabc};
 
 class LedgerFixture
@@ -708,4 +709,22 @@
     account({}, {{key(0), RunResult::Done}});
     REQUIRE(ends().size() == 1);
     CHECK(ends()[0].end == RunResult::Done);
+// Guards against two overlapping runs of a task: a home that has given the agent up counts its runs
+// as over, but they go on if the machine was suspended meanwhile, worker and all.
+TEST_CASE_METHOD(LedgerFixture, "what a home that comes back does not count any more is stopped")
+{
+    order(0, 20'000);
+    order(1, 20'000);
+    order(2, 40'000);
+    for (const std::uint32_t index : {0U, 1U})
+        ledger.startAnswered(now, key(index), StartAnswer::Accepted, out);
+    clear();
+    ledger.handle(now, OtherHome, RunsAtAgent{}, out);
+    CHECK(out.stops.empty());
+    ledger.handle(now, Home, RunsAtAgent{{key(1)}}, out);
+    REQUIRE(out.stops.size() == 1);
+    CHECK(out.stops[0].run == key(0));
+    REQUIRE(ends().size() == 1);
+    CHECK(ends()[0].run == key(2));
+    CHECK(ends()[0].end == RunResult::NotStarted);
 }
