Keep the runs of two homes under one number apart

Two homes that hold a job for a moment may choose the same number for a run. The agent dropped the second order without an answer, so that job waited for ever; or it told the second home the end of the first home's run; and a stop of one home stopped the run of the other.

Failing first, on the unfixed code: runledgertest "REQUIRE( ends(OtherHome).size() == 1 ) ... 0 == 1" while the first run goes on, and "CHECK( ends(OtherHome)[0].end == RunResult::NotStarted ) ... 1 == 5" after its end.

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -163,46 +163,57 @@
     for (const RunOrder &order : message.orders) {
         m_reports.orderReceived(home, order.order);
         const RunKey key{message.job, message.step, order.index, order.run};
-        if (const EndedRun *kept = m_retainedEnds.find(key)) {
-            out.messages.emplace_back(home, RunsEnded{{*kept}});
+        if (m_runs.contains(key) || m_retainedEnds.contains(key)) {
+            answerKnownOrder(home, key, out);
             continue;
         }
-        if (m_runs.contains(key))
-            continue;
         ++m_statistics.ordersReceived;
         m_statistics.ordersEvacuated += m_evacuated ? 1 : 0;
         m_runs.addWaiting(key, TrackedRun::waiting(now, home, message, order));
         scheduleCheck(now + m_settings.longestWait);
     }
     if (m_reports.retired(home))
-        returnOrders(now, message, false, out);
+        returnOrders(now, home, message, false, out);
     startWaiting(now, out);
     if (!accepting(now))
         returnWaiting(now, out);
     // The home counted on capacity that another home has taken. It chooses a worker again with the
     // new capacity report.
-    returnOrders(now, message, true, out);
+    returnOrders(now, home, message, true, out);
     reportRooms(now, out);
 }
 
-void RunTracker::returnOrders(TimePoint now, const StartRuns &message, bool keepPatient,
-                              RunOutbox &out)
+void RunTracker::answerKnownOrder(Incarnation home, const RunKey &key, RunOutbox &out) const
+{
+    if (m_runs.heldFor(home, key))
+        return;
+    const EndedRun *kept = m_retainedEnds.find(home, key);
+    // Two homes may choose the same number for a run of a job that both hold. The run of the other
+    // home says nothing of this order.
+    out.messages.emplace_back(
+        home,
+        RunsEnded{{kept != nullptr ? *kept : EndedRun{key, RunResult::NotStarted, Duration(0)}}});
+}
+
+void RunTracker::returnOrders(TimePoint now, Incarnation home, const StartRuns &message,
+                              bool keepPatient, RunOutbox &out)
 {
     for (const RunOrder &order : message.orders) {
-        const auto position = m_runs.find({message.job, message.step, order.index, order.run});
-        if (position == m_runs.end() || position->second.state != RunState::Waiting)
+        const RunKey key{message.job, message.step, order.index, order.run};
+        const auto position = m_runs.find(key);
+        if (!m_runs.heldFor(home, key) || position->second.state != RunState::Waiting)
             continue;
         if (!keepPatient || !order.mayWait)
             returnOrder(now, position, out);
     }
 }
 
-void RunTracker::handle(TimePoint now, Incarnation, const StopRuns &message, RunOutbox &out)
+void RunTracker::handle(TimePoint now, Incarnation home, const StopRuns &message, RunOutbox &out)
 {
     for (const RunKey &key : message.runs) {
-        const auto position = m_runs.find(key);
-        if (position == m_runs.end())
+        if (!m_runs.heldFor(home, key))
             continue;
+        const auto position = m_runs.find(key);
         if (position->second.state == RunState::Waiting)
             returnOrder(now, position, out);
         else
@@ -218,9 +229,9 @@
     stopOthers(now, home, {message.runs.begin(), message.runs.end()}, out);
     RunsEnded ended;
     for (const RunKey &key : message.runs) {
-        if (m_runs.contains(key))
+        if (m_runs.heldFor(home, key))
             continue;
-        const EndedRun *kept = m_retainedEnds.find(key);
+        const EndedRun *kept = m_retainedEnds.find(home, key);
         // The order was lost with the previous link, so it can't arrive any more.
         ended.runs.push_back(kept != nullptr ? *kept
                                              : EndedRun{key, RunResult::NotStarted, Duration(0)});
@@ -370,7 +381,7 @@
         if (evidence != EndEvidence::ListedEnd)
             logRunEnd(workerName(), ended, evidence);
     }
-    m_retainedEnds.keep(now, ended);
+    m_retainedEnds.keep(now, run.home, ended);
     m_timers.schedule(now + m_settings.endRetention, Timer{TimerKind::ForgetEnd, key});
     out.messages.emplace_back(run.home, RunsEnded{{ended}});
 }
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -153,7 +153,10 @@
     void returnWaiting(TimePoint now, RunOutbox &out);
     // Returns the orders of the message that still wait. With keepPatient, those whose home lets
     // them wait stay.
-    void returnOrders(TimePoint now, const StartRuns &message, bool keepPatient, RunOutbox &out);
+    void returnOrders(TimePoint now, Incarnation home, const StartRuns &message, bool keepPatient,
+                      RunOutbox &out);
+    // An order under a number that is in use or was used lately: nothing is started for it.
+    void answerKnownOrder(Incarnation home, const RunKey &key, RunOutbox &out) const;
     // Stops the runs of the home and returns its waiting orders, except for those that are kept.
     void stopOthers(TimePoint now, Incarnation home, const std::set<RunKey> &kept, RunOutbox &out);
     void checkStandstill(TimePoint now, RunOutbox &out);
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -95,6 +95,12 @@
     Runs::iterator end() { return m_runs.end(); }
     Runs::iterator find(const RunKey &key) { return m_runs.find(key); }
     bool contains(const RunKey &key) const { return m_runs.contains(key); }
+    // Whether it is known, and was ordered by this home.
+    bool heldFor(Incarnation home, const RunKey &key) const
+    {
+        const auto position = m_runs.find(key);
+        return position != m_runs.end() && position->second.home == home;
+    }
     bool empty() const { return m_runs.empty(); }
     std::size_t size() const { return m_runs.size(); }
     bool anyOf(Incarnation home) const;
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -35,7 +35,8 @@
     {
         return {Job, 0, index, RunNumber(run)};
     }
-    void order(std::uint32_t index, std::uint32_t cpu, std::uint64_t run = 1, bool mayWait = true)
+    void order(std::uint32_t index, std::uint32_t cpu, std::uint64_t run = 1, bool mayWait = true,
+               Incarnation home = Home)
     {
         StartRuns message;
         message.job = Job;
@@ -43,7 +44,7 @@
         message.timeLeft = 100ms;
         message.orders.push_back(
             {index, RunNumber(run), OrderNumber(++lastOrder), 100ms, 0, mayWait});
-        ledger.handle(now, Home, message, out);
+        ledger.handle(now, home, message, out);
     }
     void account(std::vector<RunKey> running, std::vector<ListedEnd> ended,
                  std::optional<TimePoint> askedAt = std::nullopt)
@@ -75,11 +76,12 @@
         ledger.startAnswered(now, key(index), StartAnswer::NoAnswer, out);
     }
     // Ends that were sent to the home, in order.
-    std::vector<EndedRun> ends() const
+    std::vector<EndedRun> ends(Incarnation home = Home) const
     {
         std::vector<EndedRun> found;
         for (const auto &[to, message] : out.messages) {
-            if (const auto *ended = std::get_if<RunsEnded>(&message))
+            const auto *ended = std::get_if<RunsEnded>(&message);
+            if (ended != nullptr && to == home)
                 found.insert(found.end(), ended->runs.begin(), ended->runs.end());
         }
         return found;
@@ -728,3 +730,34 @@
     CHECK(ends()[0].run == key(2));
     CHECK(ends()[0].end == RunResult::NotStarted);
 }
+
+// Guards against a job that waits for ever, and against one that is told the end of a run that its
+// home did not order: two homes that hold a job may choose the same number for a run.
+TEST_CASE_METHOD(LedgerFixture, "an order under the number of another home's run is returned")
+{
+    const bool over = GENERATE(false, true);
+    ledger.homeUp(OtherHome);
+    order(0, 20'000);
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    if (over)
+        account({}, {{key(0), RunResult::Done}});
+    clear();
+    order(0, 20'000, 1, true, OtherHome);
+    CHECK(out.starts.empty());
+    REQUIRE(ends(OtherHome).size() == 1);
+    CHECK(ends(OtherHome)[0].end == RunResult::NotStarted);
+    clear();
+    ledger.handle(now, OtherHome, RunsAtAgent{{key(0)}}, out);
+    REQUIRE(ends(OtherHome).size() == 1);
+    CHECK(ends(OtherHome)[0].end == RunResult::NotStarted);
+    ledger.handle(now, OtherHome, StopRuns{{key(0)}}, out);
+    CHECK(out.stops.empty());
+    clear();
+    if (!over)
+        account({}, {{key(0), RunResult::Done}});
+    else
+        ledger.handle(now, Home, RunsAtAgent{{key(0)}}, out);
+    CHECK(ends(OtherHome).empty());
+    REQUIRE(ends().size() == 1);
+    CHECK(ends()[0].end == RunResult::Done);
+}
