Start no task beside another run of it on the same worker

Two homes may hold a job for a moment. The agent, the only one that starts tasks on its worker, started the second home's run although it knew that the first had not ended.

The order now waits until the other run is over, and is returned after 250 ms like any order that waits too long. Returning it at once was weighed: its home avoids an agent that returned an order and would start the task on another worker 2 ms later, beside the first run.

Failing first, on the unfixed code: runledgertest "CHECK( out.starts.empty() ) ... false".

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -203,7 +203,9 @@
         const auto position = m_runs.find(key);
         if (!m_runs.heldFor(home, key) || position->second.state != RunState::Waiting)
             continue;
-        if (!keepPatient || !order.mayWait)
+        // Its home would order the task elsewhere at once, beside the run that is still here.
+        const bool patient = order.mayWait || m_runs.anotherStarted(key);
+        if (!keepPatient || !patient)
             returnOrder(now, position, out);
     }
 }
@@ -334,6 +336,8 @@
     const TrackedRuns::Waiting &waiting = m_runs.waiting();
     for (auto position = waiting.begin(); position != waiting.end() && looked < LookAhead;) {
         const auto run = m_runs.find((position++)->second);
+        if (m_runs.anotherStarted(run->first))
+            continue;
         if (!m_runs.fits(run->second, m_worker->room)) {
             ++looked;
             continue;
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -33,8 +33,8 @@
 
 struct RunTrackerSettings
 {
-    // An order that has waited this long for capacity is returned to its home, which may know a
-    // better worker. In microseconds, like all durations.
+    // An order that has waited this long, for capacity or for the end of another run of its task,
+    // is returned to its home, which may know a better worker. In microseconds, like all durations.
     Duration longestWait{250'000};
     // Ends are kept this long and sent again to homes that reconnect within it.
     Duration endRetention{8'000'000};
@@ -151,8 +151,8 @@
     // The run still waits: nothing of it was sent to the worker.
     void returnOrder(TimePoint now, TrackedRuns::Runs::iterator position, RunOutbox &out);
     void returnWaiting(TimePoint now, RunOutbox &out);
-    // Returns the orders of the message that still wait. With keepPatient, those whose home lets
-    // them wait stay.
+    // Returns the orders of the message that still wait. With keepPatient, those stay whose home
+    // lets them wait, or whose task has another run here.
     void returnOrders(TimePoint now, Incarnation home, const StartRuns &message, bool keepPatient,
                       RunOutbox &out);
     // An order under a number that is in use or was used lately: nothing is started for it.
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -55,6 +55,19 @@
                        [home](const auto &item) { return item.second.home == home; });
 }
 
+bool TrackedRuns::anotherStarted(const RunKey &key) const
+{
+    auto position = m_runs.lower_bound({key.job, key.step, key.index, RunNumber()});
+    for (; position != m_runs.end(); ++position) {
+        const auto &[other, run] = *position;
+        if (other.job != key.job || other.step != key.step || other.index != key.index)
+            return false;
+        if (other.run != key.run && run.state != RunState::Waiting)
+            return true;
+    }
+    return false;
+}
+
 void TrackedRuns::addWaiting(const RunKey &key, TrackedRun run)
 {
     m_waiting.emplace(run.rank, key);
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -107,6 +107,9 @@
     // In the order in which they should start.
     const Waiting &waiting() const { return m_waiting; }
 
+    // Whether another run of this task has been started and is not known to be over.
+    bool anotherStarted(const RunKey &key) const;
+
     // Adds a run that waits for capacity.
     void addWaiting(const RunKey &key, TrackedRun run);
     // Adds a run that a previous incarnation of the agent started; its need is unknown. The run
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -761,3 +761,30 @@
     REQUIRE(ends().size() == 1);
     CHECK(ends()[0].end == RunResult::Done);
 }
+
+// Guards against two overlapping runs of a task on one worker: two homes may hold its job for a
+// moment.
+TEST_CASE_METHOD(LedgerFixture, "a task is not started while another run of it is on the worker")
+{
+    ledger.homeUp(OtherHome);
+    order(0, 20'000);
+    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    clear();
+    order(0, 20'000, 2, false, OtherHome);
+    CHECK(out.starts.empty());
+    CHECK(ends(OtherHome).empty());
+    SECTION("it starts when the other one is over")
+    {
+        account({}, {{key(0), RunResult::Stopped}});
+        REQUIRE(out.starts.size() == 1);
+        CHECK(out.starts[0].run == key(0, 2));
+    }
+    SECTION("it is returned if the other one goes on")
+    {
+        pass(250ms);
+        ledger.advance(now, out);
+        CHECK(out.starts.empty());
+        REQUIRE(ends(OtherHome).size() == 1);
+        CHECK(ends(OtherHome)[0].end == RunResult::NotStarted);
+    }
+}
