Return the orders of a home that was given up

When the next incarnation of an entry connects, the agent gives the earlier one up. An order that the dead incarnation had left in its connection, read after that, was started; at the end of that connection the agent no longer knew the home and stopped nothing, so the run went on beside that of the repeated submission.

Orders are accepted only of homes that are up; others are returned, and questions of such homes are ignored.

Failing first, on the unfixed code: runledgertest "CHECK( ledger.runs() == 0 ) ... 1 == 0".

--- a/source/core/capacityreporter.h
+++ b/source/core/capacityreporter.h
@@ -30,6 +30,7 @@
 
     void homeUp(Incarnation home);
     void homeGone(Incarnation home);
+    bool knows(Incarnation home) const { return m_homes.contains(home); }
     // Reports to a retired home say that the worker accepts no orders.
     void retire(Incarnation home, bool retired);
     bool retired(Incarnation home) const;
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -160,6 +160,8 @@
 
 void RunTracker::handle(TimePoint now, Incarnation home, const StartRuns &message, RunOutbox &out)
 {
+    if (!m_reports.knows(home))
+        return refuseOrders(home, message, out);
     for (const RunOrder &order : message.orders) {
         m_reports.orderReceived(home, order.order);
         const RunKey key{message.job, message.step, order.index, order.run};
@@ -183,6 +185,16 @@
     reportRooms(now, out);
 }
 
+void RunTracker::refuseOrders(Incarnation home, const StartRuns &message, RunOutbox &out)
+{
+    RunsEnded refused;
+    for (const RunOrder &order : message.orders) {
+        const RunKey key{message.job, message.step, order.index, order.run};
+        refused.runs.push_back({key, RunResult::NotStarted, Duration(0)});
+    }
+    out.messages.emplace_back(home, std::move(refused));
+}
+
 void RunTracker::answerKnownOrder(Incarnation home, const RunKey &key, RunOutbox &out) const
 {
     if (m_runs.heldFor(home, key))
@@ -227,6 +239,8 @@
 
 void RunTracker::handle(TimePoint now, Incarnation home, const RunsAtAgent &message, RunOutbox &out)
 {
+    if (!m_reports.knows(home))
+        return;
     // The home counts the others as over, and may have ordered their tasks elsewhere.
     stopOthers(now, home, {message.runs.begin(), message.runs.end()}, out);
     RunsEnded ended;
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -94,6 +94,8 @@
     void startAnswered(TimePoint now, const RunKey &key, StartAnswer answer, RunOutbox &out);
     void stopAnswered(TimePoint now, const RunKey &key, bool answered, RunOutbox &out);
 
+    // Orders of the home are accepted from now on, until homeSilent() is called for it: after that
+    // nobody would stop their runs.
     void homeUp(Incarnation home);
     // A retired home keeps its runs, but no order of it is accepted any more. Its link is closed
     // when the runs have ended.
@@ -155,6 +157,7 @@
     // lets them wait, or whose task has another run here.
     void returnOrders(TimePoint now, Incarnation home, const StartRuns &message, bool keepPatient,
                       RunOutbox &out);
+    static void refuseOrders(Incarnation home, const StartRuns &message, RunOutbox &out);
     // An order under a number that is in use or was used lately: nothing is started for it.
     void answerKnownOrder(Incarnation home, const RunKey &key, RunOutbox &out) const;
     // Stops the runs of the home and returns its waiting orders, except for those that are kept.
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -788,3 +788,19 @@
         CHECK(ends(OtherHome)[0].end == RunResult::NotStarted);
     }
 }
+
+// Guards against runs that nobody stops: a home that was given up, since its next incarnation has
+// come up, may have left orders in its connection.
+TEST_CASE_METHOD(LedgerFixture, "orders of a home that was given up are not carried out")
+{
+    ledger.homeSilent(now, Home, out);
+    ledger.handle(now, Home, RunsAtAgent{}, out);
+    order(0, 20'000);
+    CHECK(out.starts.empty());
+    CHECK(ledger.runs() == 0);
+    REQUIRE(ends().size() == 1);
+    CHECK(ends()[0].end == RunResult::NotStarted);
+    ledger.homeUp(Home);
+    order(0, 20'000);
+    CHECK(out.starts.size() == 1);
+}
