--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -179,8 +179,9 @@
 void RunDispatcher::agentUp(TimePoint now, const ProcessInfo &agent, DispatchOutbox &out)
 {
     m_workers.linkUp(agent);
-    out.messages.emplace_back(agent.incarnation, RunsAtAgent{m_runsAtAgents.at(agent.incarnation)});
+    // Before the question, which makes the agent let the other runs go on.
     repeatStops(agent.incarnation, out);
+    out.messages.emplace_back(agent.incarnation, RunsAtAgent{m_runsAtAgents.at(agent.incarnation)});
     dispatch(now, out);
 }
 
--- a/tests/platform/agentprocesstest.cpp
+++ b/tests/platform/agentprocesstest.cpp
@@ -37,6 +37,7 @@
 public:
     AgentFixture()
         : announcePort(ports.next())
+        , homePort(ports.next())
         , writer(context, timers, loopback(announcePort))
     {
         initializeLog("test", LogLevel::Error);
@@ -46,20 +47,24 @@
         settings.process.metricsListen = loopback(0);
         settings.process.storeAddress = "127.0.0.1:" + std::to_string(store.port());
         settings.announceListen = loopback(announcePort);
-        startHome(settings.process);
+        startHome();
         agent = AgentProcess::create(context, settings).value();
         worker = std::make_unique<PlatformWorker>(context, timers, judge, WorkerName,
                                                   loopback(announcePort), 1);
         REQUIRE(until([this] { return room.accepting; }));
     }
 
-    void startHome(const CommonSettings &common)
+    // Listens at the same port each time, with the same incarnation.
+    void startHome()
     {
+        home.reset();
         ProcessInfo self;
         self.incarnation = Incarnation(7);
         self.role = ProcessRole::Entry;
         self.name = "edge-1";
-        PeerNodeSettings settings = peerSettings(common);
+        CommonSettings common;
+        common.peerListen = loopback(homePort);
+        const PeerNodeSettings settings = peerSettings(common);
         PeerHandlers handlers;
         handlers.up = [this](const ProcessInfo &peer) {
             home->send(peer.incarnation, EvacuationNotice{EvacuationVersion(1), {}});
@@ -125,6 +130,7 @@
     TimerService timers{context};
     PortPool ports;
     unsigned short announcePort;
+    unsigned short homePort;
     PlatformStore store{context, timers, 1};
     PlatformJudge judge;
     Metrics metrics;
@@ -200,3 +206,12 @@
     startTask(10ms);
     CHECK(onlyEnd() == RunResult::Done);
 }
+
+// Guards against two overlapping runs of a task: a link that comes up on this side only would keep
+// the runs of a home that counts them as over.
+TEST_CASE_METHOD(AgentFixture, "a home whose new link brings no question has its runs stopped")
+{
+    startTask(60s);
+    startHome();
+    CHECK(onlyEnd() == RunResult::Stopped);
+}
