Close inherited descriptors in processes that tests start

A worker stand-in that leaves closes its listener, but processes that had been started after it kept the descriptor open. Connections to it were then accepted by the kernel and never answered, so that the worker looked silent instead of gone.

--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -29,6 +29,8 @@
         posix_spawn_file_actions_addopen(&m_actions, STDOUT_FILENO, logFile.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, 0600);
         posix_spawn_file_actions_adddup2(&m_actions, STDOUT_FILENO, STDERR_FILENO);
+        // Otherwise the process would keep the listeners of stand-ins open that have closed them.
+        posix_spawn_file_actions_addclosefrom_np(&m_actions, STDERR_FILENO + 1);
     }
     FileActions(const FileActions &) = delete;
     FileActions &operator=(const FileActions &) = delete;
