Soak: announcements of other writers, late workers, short breaks, replacements

Its agents heard only what their own worker sent. Its tasks ended within 0.4 s, so that no caller's deadline passed while one ran, and a run that was never stopped was over before its caller submitted again after 1.3 s. Its worker carried a call out at once or never, kept its clock and its place for good, took calls meant for another worker, and answered a start "already there" while another run of the same task went on, which hid two runs on one worker.

Added, each by seed, in series that overlap: - announcements of another writer, damaged or whole, for each agent every 2 to 3 s; a DELETE; announcements of a worker's life before the present one; - workers that carry starts and stops out 80 to 108 ms late; calls without an answer that are carried out up to 3 s late; - freezes of agents and breaks of links that are shorter than the times after which a process is given up, beside callers that wait for 1.5 s for tasks of up to 3 s; - workers that leave or vanish, and others at another address; next lives with another name or an earlier start time. The stand-in answers 421 to calls for another worker and 409 "fence" to renewals and stops, takes the lease of a start that it refuses as "old", restarts its clock with each life, and runs its clock 2% slow for even seeds. Faults and processes have classes of their own.

--- a/tests/soak/platformsoak.h
+++ b/tests/soak/platformsoak.h
@@ -1,24 +1,18 @@
-// A randomized run of the platform's programs as separate processes, with stand-ins for the store
-// and the workers in this process. Faults come from outside: signals that stop, pause, kill and
-// restart processes, links that a relay cuts, stalls and resets, a store and workers that
-// misbehave. The promises are checked from what callers and workers see.
+// A randomized run of the platform's programs as separate processes. Faults come from outside:
+// signals that stop, pause, kill and restart processes, links that a relay cuts, stalls and resets,
+// a store and workers that misbehave, announcements of other writers. The promises are checked from
+// what callers and workers see.
 #pragma once
 
 #include "kernel/timerservice.h"
 #include "net/httpclient.h"
-#include "process/childprocess.h"
-#include "process/portpool.h"
-#include "standins/faultrelay.h"
-#include "standins/platformstore.h"
-#include "standins/platformworker.h"
-
-#include <boost/asio/io_context.hpp>
+#include "soak/soakfaults.h"
+#include "soak/soaksite.h"
 
 #include <cstdint>
-#include <map>
 #include <memory>
-#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +27,8 @@
     // Mean time between two jobs, and between two faults.
     Duration jobGap{40'000};
     Duration faultGap{700'000};
-    // Folder of settings and logs; kept if the run fails.
+    std::set<SoakFault> faults;
+    // Folder of settings and logs.
     std::string folder;
 };
 
@@ -59,71 +54,41 @@
     SoakReport runEvacuation();
 
 private:
-    struct Process
-    {
-        std::string name;
-        std::vector<std::string> command;
-        std::optional<ChildProcess> child;
-        unsigned short peerPort = 0;
-        unsigned short otherPort = 0;
-        std::shared_ptr<FaultRelay> relay;
-        // Was told to stop and is to be started again.
-        bool stopping = false;
-        // Stands still until it is woken.
-        bool paused = false;
-        // Ends a pause, a kill or a stop.
-        TimerSubscription next;
-        TimerSubscription linkRepair;
-    };
     struct Job
     {
+        // With the path.
+        std::string target;
         std::string key;
         std::string body;
         unsigned tasks = 0;
+        // How long a submission waits for its answer.
+        Duration patience{0};
+        // No submission after it.
         TimePoint deadline;
         bool answered = false;
         bool rejectedOnly = true;
         TimerSubscription resubmission;
     };
 
-    void startProcess(Process &process);
-    void addEntry(std::size_t number);
-    void addAgent(std::size_t number);
-    std::string commonSettings(const Process &process, const std::string &dataCentre) const;
     void checkEvacuated();
-    void restart(Process &process);
+    void restart(SoakProcess &process);
     void waitReady();
     void submitNext();
     void submit(const std::shared_ptr<Job> &job, std::size_t entry);
     void answered(const std::shared_ptr<Job> &job, std::size_t entry, const HttpReply &reply);
-    void injectNext();
-    void inject();
-    void disturbProcess(Process &process);
-    void disturbLinks(Process &process);
-    void disturbStore();
-    void disturbWorker();
-    void repairAll();
-    void pass(Duration span);
+    std::shared_ptr<Job> makeJob();
+    void finishLoad();
     Duration::rep pick(Duration::rep low, Duration::rep high);
 
     SoakSettings m_settings;
     std::mt19937_64 m_random;
-    boost::asio::io_context m_context;
-    TimerService m_timers;
-    PortPool m_ports;
-    PlatformJudge m_judge;
-    PlatformStore m_store;
-    std::vector<std::unique_ptr<Process>> m_entries;
-    std::vector<std::unique_ptr<Process>> m_agents;
-    std::vector<std::unique_ptr<PlatformWorker>> m_workers;
+    SoakSite m_site;
+    SoakFaults m_faults;
     std::vector<std::unique_ptr<HttpClient>> m_clients;
     std::vector<std::shared_ptr<Job>> m_jobs;
     SoakReport m_report;
     bool m_loading = false;
     TimerSubscription m_nextJob;
-    TimerSubscription m_nextFault;
-    TimerSubscription m_storeRepair;
-    TimerSubscription m_workerRepair;
 };
 
 } // namespace Bluebellquay::Testing
--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -18,7 +18,17 @@
 constexpr Duration LeaseCheckInterval{20'000};
 constexpr Duration StopTime{20'000};
 constexpr std::uint64_t LongestLeaseMs = 1'000;
-constexpr std::uint64_t FirstBirthMs = 1'000;
+// Leaves room for births that are said to be earlier.
+constexpr std::uint64_t FirstBirthMs = 1'000'000'000;
+// Just below the time after which an agent counts a call as not answered.
+constexpr Duration ShortestSlowCall{80'000};
+constexpr Duration LongestSlowCall{108'000};
+constexpr Duration LongestLateCall{3'000'000};
+// In thousandths; the worker's steady clock may be 2% slow.
+constexpr std::uint64_t SlowClockRate = 980;
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusMisdirected = 421;
 
 } // namespace
 
@@ -29,19 +39,37 @@
     ++m_startsOn[worker];
     m_startedJobs.insert(task.substr(0, task.find('.')));
     const std::string what = task + " run " + std::to_string(run) + " on " + worker;
-    if (++m_running[task] > 1)
-        report("two runs at a time: " + what);
+    m_observer("start " + what);
+    std::vector<Run> &runs = m_running[task];
+    for (const Run &other : runs)
+        report("two runs at a time: " + what + ", beside run " + std::to_string(other.number)
+               + " on " + other.worker);
+    runs.push_back({worker, run});
     if (heldCpu + cpu > roomCpu)
         report("over the room: " + what);
 }
 
-void PlatformJudge::ended(const std::string &task, bool done)
+void PlatformJudge::ended(const std::string &worker, const std::string &task, std::uint64_t run,
+                          const std::string &how)
 {
-    --m_running[task];
-    if (done)
+    m_observer("end " + task + " run " + std::to_string(run) + " on " + worker + ' ' + how);
+    std::vector<Run> &runs = m_running[task];
+    const auto position = std::find_if(runs.begin(), runs.end(), [&](const Run &other) {
+        return other.worker == worker && other.number == run;
+    });
+    if (position == runs.end())
+        return report("ended without a start: " + task + " on " + worker);
+    runs.erase(position);
+    if (how == "done")
         m_done.insert(task);
 }
 
+void PlatformJudge::report(const std::string &violation)
+{
+    m_observer("violation " + violation);
+    m_violations.push_back(violation);
+}
+
 PlatformWorker::PlatformWorker(boost::asio::io_context &context, TimerService &timers,
                                PlatformJudge &judge, std::string name,
                                boost::asio::ip::tcp::endpoint agent, std::uint64_t seed)
@@ -50,9 +78,12 @@
     , m_name(std::move(name))
     , m_random(seed)
     , m_agent(context, timers, std::move(agent))
+    , m_begunAt(timers.now())
+    , m_clockRate(seed % 2 == 0 ? SlowClockRate : 1'000)
     , m_born(FirstBirthMs)
 {
     m_server = serveOnLoopback(context, timers, *this, &PlatformWorker::handle);
+    m_port = m_server->port();
     m_announcement = timers.every(AnnounceInterval, [this](TimePoint) { announce(); });
     m_leaseCheck = timers.every(LeaseCheckInterval, [this](TimePoint) {
         while (clockMs() >= m_leaseUntilMs && !m_runs.empty())
@@ -62,7 +93,8 @@
 
 std::uint64_t PlatformWorker::clockMs() const
 {
-    return static_cast<std::uint64_t>(m_timers.now().time_since_epoch().count() / 1000) + 1;
+    const auto elapsed = static_cast<std::uint64_t>((m_timers.now() - m_begunAt).count());
+    return elapsed / 1'000 * m_clockRate / 1'000 + 1;
 }
 
 void PlatformWorker::announce()
@@ -83,37 +115,62 @@
                                {"born", m_born},
                                {"sequence", ++m_sequence}}
                     .dump();
+    m_lastAnnouncement = {call.target, call.body};
     m_agent.call(std::move(call), [](const HttpReply &) {});
 }
 
 void PlatformWorker::handle(const HttpRequest &request,
                             const std::shared_ptr<HttpExchange> &exchange)
 {
+    if (request.header("X-Bluebellquay-Expected-Instance") != m_name)
+        return exchange->respond({StatusMisdirected, {}, {}});
     if (request.target == "/v1/hold")
         return hold(request.body, exchange);
     std::uniform_real_distribution<double> chance(0, 1);
     if (chance(m_random) < m_lostAnswers) {
         m_silent.push_back(exchange);
-        // Half of them are carried out all the same.
         if (chance(m_random) < 0.5)
             return;
-        std::string ignored;
-        if (request.target == "/v1/run-start")
-            start(request.body, ignored);
-        else
-            stop(request.body);
+        if (chance(m_random) < 0.5)
+            return carryOutLate(request, nullptr, pick(Duration(0), LongestLateCall));
+        carryOut(request);
         return;
     }
+    if (m_slow)
+        return carryOutLate(request, exchange, pick(ShortestSlowCall, LongestSlowCall));
+    exchange->respond(carryOut(request));
+}
+
+void PlatformWorker::carryOutLate(const HttpRequest &request,
+                                  std::shared_ptr<HttpExchange> exchange, Duration delay)
+{
+    m_lateCalls.push_back(m_timers.at(
+        m_timers.now() + delay, [this, request, exchange = std::move(exchange)](TimePoint) {
+            // Another life may have come meanwhile.
+            const bool expected = request.header("X-Bluebellquay-Expected-Instance") == m_name;
+            HttpResponse response{StatusMisdirected, {}, {}};
+            if (expected)
+                response = carryOut(request);
+            if (exchange)
+                exchange->respond(std::move(response));
+        }));
+}
+
+HttpResponse PlatformWorker::carryOut(const HttpRequest &request)
+{
     std::string refusal;
-    unsigned status = 200;
-    if (request.target == "/v1/run-start")
-        status = start(request.body, refusal);
-    else
-        stop(request.body);
+    const unsigned status = request.target == "/v1/run-start" ? start(request.body, refusal)
+                                                              : stop(request.body, refusal);
     nlohmann::json body{{"clockMs", clockMs()}};
     if (!refusal.empty())
         body["reason"] = refusal;
-    exchange->respond({status, body.dump(), {}});
+    return {status, body.dump(), {}};
+}
+
+Duration PlatformWorker::pick(Duration low, Duration high)
+{
+    return Duration(
+        std::uniform_int_distribution<Duration::rep>(low.count(), high.count())(m_random));
 }
 
 unsigned PlatformWorker::start(const std::string &body, std::string &refusal)
@@ -130,70 +187,75 @@
         refusal = "old";
     else if (deadline <= clockMs())
         refusal = "late";
+    m_token = std::max(m_token, token);
+    if (refusal.empty() || refusal == "old")
+        renew(deadline);
     if (!refusal.empty())
-        return 409;
-    m_token = token;
-    if (m_runs.contains(task))
-        return 200;
+        return StatusConflict;
+    const RunId id(task, run);
+    if (m_runs.contains(id))
+        return StatusOk;
     std::istringstream payload(document["spec"].get<std::string>());
     Run started;
     unsigned milliseconds = 0;
     std::string outcome;
     payload >> started.cpu >> milliseconds >> outcome;
-    started.number = run;
     started.fails = outcome == "fail";
     started.runTime = std::chrono::milliseconds(milliseconds);
     unsigned held = 0;
     for (const auto &[name, other] : m_runs)
         held += other.cpu;
     m_judge.started(m_name, task, run, held, started.cpu, RoomCpu);
-    renew(deadline);
-    m_runs.emplace(task, std::move(started));
-    scheduleEnd(task);
-    return 200;
+    m_runs.emplace(id, std::move(started));
+    scheduleEnd(id);
+    return StatusOk;
 }
 
-void PlatformWorker::scheduleEnd(const std::string &task)
+void PlatformWorker::scheduleEnd(const RunId &id)
 {
-    Run &run = m_runs.at(task);
+    Run &run = m_runs.at(id);
     if (run.stopping)
         return;
     run.end.cancel();
     if (m_still)
         return;
-    run.end = m_timers.at(m_timers.now() + run.runTime, [this, task, fails = run.fails](TimePoint) {
-        end(task, fails ? "failed" : "done");
+    run.end = m_timers.at(m_timers.now() + run.runTime, [this, id, fails = run.fails](TimePoint) {
+        end(id, fails ? "failed" : "done");
     });
 }
 
-void PlatformWorker::stop(const std::string &body)
+unsigned PlatformWorker::stop(const std::string &body, std::string &refusal)
 {
     const nlohmann::json document = nlohmann::json::parse(body);
     const std::string task = document["task"];
     const std::uint64_t number = document["run"];
-    if (document["fencingToken"].get<std::uint64_t>() < m_token)
-        return;
+    const std::uint64_t token = document["fencingToken"];
+    if (token < m_token) {
+        refusal = "fence";
+        return StatusConflict;
+    }
+    m_token = token;
     std::uint64_t &closed = m_closed[task];
     closed = std::max(closed, number);
-    const auto position = m_runs.find(task);
-    if (position == m_runs.end() || position->second.number != number || position->second.stopping)
-        return;
+    const RunId id(task, number);
+    const auto position = m_runs.find(id);
+    if (position == m_runs.end() || position->second.stopping)
+        return StatusOk;
     position->second.stopping = true;
     position->second.end =
-        m_timers.at(m_timers.now() + StopTime, [this, task](TimePoint) { end(task, "stopped"); });
+        m_timers.at(m_timers.now() + StopTime, [this, id](TimePoint) { end(id, "stopped"); });
+    return StatusOk;
 }
 
-void PlatformWorker::end(std::string task, const std::string &how)
+void PlatformWorker::end(RunId id, const std::string &how)
 {
-    const auto position = m_runs.find(task);
-    if (position == m_runs.end())
+    if (m_runs.erase(id) == 0)
         return;
-    const std::uint64_t number = position->second.number;
-    m_runs.erase(position);
+    const auto &[task, number] = id;
     std::uint64_t &closed = m_closed[task];
     closed = std::max(closed, number);
-    m_judge.ended(task, how == "done");
-    m_ended.push_back({++m_lastEnd, std::move(task), number, how});
+    m_judge.ended(m_name, task, number, how);
+    m_ended.push_back({++m_lastEnd, task, number, how});
     answerHolds();
 }
 
@@ -201,8 +263,13 @@
 {
     const nlohmann::json document = nlohmann::json::parse(body);
     const std::uint64_t seen = document.value("lastSeen", std::uint64_t(0));
+    const std::uint64_t token = document["fencingToken"];
+    if (token < m_token) {
+        const nlohmann::json refusal{{"clockMs", clockMs()}, {"reason", "fence"}};
+        return exchange->respond({StatusConflict, refusal.dump(), {}});
+    }
     std::erase_if(m_ended, [&](const Ended &ended) { return ended.number <= seen; });
-    m_token = std::max(m_token, document["fencingToken"].get<std::uint64_t>());
+    m_token = token;
     if (document.contains("deadlineMs"))
         renew(document["deadlineMs"]);
     std::uniform_real_distribution<double> chance(0, 1);
@@ -229,8 +296,8 @@
 std::string PlatformWorker::account() const
 {
     nlohmann::json running = nlohmann::json::array();
-    for (const auto &[task, run] : m_runs)
-        running.push_back({task, run.number, "", 100});
+    for (const auto &[id, run] : m_runs)
+        running.push_back({id.first, id.second, "", 100});
     nlohmann::json ended = nlohmann::json::array();
     for (const Ended &entry : m_ended)
         ended.push_back({entry.number, entry.task, entry.run, entry.how, ""});
@@ -247,14 +314,16 @@
 void PlatformWorker::standStill(bool still)
 {
     m_still = still;
-    for (auto &[task, run] : m_runs)
-        scheduleEnd(task);
+    for (auto &[id, run] : m_runs)
+        scheduleEnd(id);
 }
 
-void PlatformWorker::crash()
+void PlatformWorker::restartAs(std::string name, std::int64_t bornStepMs)
 {
     forgetAll();
-    m_born += 1'000;
+    m_earlierAnnouncement = m_lastAnnouncement;
+    m_name = std::move(name);
+    m_born += static_cast<std::uint64_t>(bornStepMs);
     m_restart = m_timers.at(m_timers.now() + RestartTime, [this](TimePoint) { announce(); });
 }
 
@@ -264,25 +333,37 @@
     call.method = "DELETE";
     call.target = "/v1/instances/" + m_name;
     m_agent.call(std::move(call), [](const HttpReply &) {});
+    vanish();
+}
+
+void PlatformWorker::vanish()
+{
     m_announcement.cancel();
-    forgetAll();
+    m_restart.cancel();
     m_server.reset();
+    forgetAll();
+    m_lateCalls.clear();
+    m_silent.clear();
 }
 
 std::string PlatformWorker::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_server->port());
+    return "127.0.0.1:" + std::to_string(m_port);
 }
 
 void PlatformWorker::forgetAll()
 {
-    for (const auto &[task, run] : m_runs)
-        m_judge.ended(task, false);
+    for (const auto &[id, run] : m_runs)
+        m_judge.ended(m_name, id.first, id.second, "gone");
     m_runs.clear();
     m_closed.clear();
     m_ended.clear();
+    // An exchange that is let go would be answered, which a worker that is gone does not do.
+    for (Hold &waiting : m_holds)
+        m_silent.push_back(std::move(waiting.exchange));
     m_holds.clear();
-    m_silent.clear();
+    m_begunAt = m_timers.now();
+    m_leaseUntilMs = 0;
     m_lastEnd = 0;
     m_token = 0;
     m_sequence = 0;
