Close a test case that a merge had cut, and look a run's job up before its stop is repeated

Besides, RunDispatcher::repeatStops took for granted that the job of each run is known, and would have ended the process otherwise; by reading, no run shows that this can happen. Change: the case is closed; the job is looked up.

--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -342,11 +342,12 @@
         out.messages.emplace_back(agent, std::move(message));
 }
 
-void RunDispatcher::repeatStops(Incarnation agent, DispatchOutbox &out) const
+void RunDispatcher::repeatStops(Incarnation agent, DispatchOutbox &out)
 {
     StopRuns stops;
     for (const RunKey &run : m_runsAtAgents.at(agent)) {
-        if (m_jobs.at(run.job).released)
+        const KeyedJob *job = m_jobs.find(run.job);
+        if (job != nullptr && job->released)
             stops.runs.push_back(run);
     }
     if (!stops.runs.empty())
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -205,7 +205,7 @@
     // Stops the runs of the job. The job is removed when its last run has ended.
     void release(KeyedJob &job, DispatchOutbox &out);
     // The stops of released jobs may have been lost with the agent's previous link.
-    void repeatStops(Incarnation agent, DispatchOutbox &out) const;
+    void repeatStops(Incarnation agent, DispatchOutbox &out);
     // Removes a released job that has no runs left, and adds its successor if there is one.
     void removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out);
     // Removes an agent that has stopped all runs of this home, and counts these as lost.
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -711,6 +711,8 @@
     account({}, {{key(0), RunResult::Done}});
     REQUIRE(ends().size() == 1);
     CHECK(ends()[0].end == RunResult::Done);
+}
+
 // Guards against two overlapping runs of a task: a home that has given the agent up counts its runs
 // as over, but they go on if the machine was suspended meanwhile, worker and all.
 TEST_CASE_METHOD(LedgerFixture, "what a home that comes back does not count any more is stopped")
