--- a/tests/platform/agentprocesstest.cpp
+++ b/tests/platform/agentprocesstest.cpp
@@ -215,3 +215,13 @@
     startHome();
     CHECK(onlyEnd() == RunResult::Stopped);
 }
+
+TEST_CASE_METHOD(AgentFixture,
+                 "another worker takes the place of one that answers nothing any more")
+{
+    startTask(60s);
+    worker->setLostAnswers(1);
+    PlatformWorker next(context, timers, judge, "i-2", loopback(announcePort), 2);
+    CHECK(onlyEnd() != RunResult::Done);
+    CHECK(until([this] { return room.accepting; }));
+}
--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -1,6 +1,7 @@
 // Guards the agent's calls to its worker against what clocks do to them.
 #include "platform/workerclient.h"
 #include "net/httpserver.h"
+#include "net/testloop.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -385,3 +386,37 @@
     CHECK(leases > 0);
     CHECK(tooLong == 0);
 }
+
+// Guards against runs that never end, and a next worker that is never followed, beside a worker
+// that hangs: each renewal without an answer may have renewed the lease.
+TEST_CASE("the lease of a worker that answers nothing any more runs out")
+{
+    boost::asio::io_context context;
+    TimerService timers(context);
+    bool silent = false;
+    std::vector<std::shared_ptr<HttpExchange>> unanswered;
+    HttpServerSettings settings;
+    settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
+    const auto server =
+        HttpServer::create(
+            context, timers, settings,
+            [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                if (silent)
+                    return unanswered.push_back(exchange);
+                exchange->respond(
+                    {200, R"({"clockMs":5000,"running":[],"ended":[],"born":7})", {}});
+            })
+            .value();
+    int listings = 0;
+    int expired = 0;
+    WorkerClient client(context, timers, PlatformBounds(), 1,
+                        {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
+                         [&](const RunListing &) { ++listings; }, [] { return true; },
+                         [&] { ++expired; }, [] {}, [] {}});
+    client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
+    REQUIRE(Testing::runUntil(context, [&] { return listings > 2; }));
+    CHECK(expired == 0);
+    silent = true;
+    CHECK(Testing::runUntil(context, [&] { return expired > 0; }));
+    CHECK(client.leasesOver());
+}
