--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -247,11 +247,12 @@
     return StatusOk;
 }
 
-void PlatformWorker::end(RunId id, const std::string &how)
+void PlatformWorker::end(const RunId &id, const std::string &how)
 {
-    if (m_runs.erase(id) == 0)
+    const auto run = m_runs.extract(id);
+    if (run.empty())
         return;
-    const auto &[task, number] = id;
+    const auto &[task, number] = run.key();
     std::uint64_t &closed = m_closed[task];
     closed = std::max(closed, number);
     m_judge.ended(m_name, task, number, how);
--- a/tests/standins/platformworker.h
+++ b/tests/standins/platformworker.h
@@ -137,8 +137,7 @@
     unsigned stop(const std::string &body, std::string &refusal);
     void hold(const std::string &body, const std::shared_ptr<HttpExchange> &exchange);
     void scheduleEnd(const RunId &id);
-    // The id is taken by value: callers pass the key of the record that is removed.
-    void end(RunId id, const std::string &how);
+    void end(const RunId &id, const std::string &how);
     Duration pick(Duration low, Duration high);
     void answerHolds();
     std::string account() const;
