--- a/source/core/workersuccession.h
+++ b/source/core/workersuccession.h
@@ -52,7 +52,7 @@
     struct Life
     {
         WorkerProfile profile;
-        // Of its latest announcement.
+        // Sequence number of its latest announcement.
         std::uint64_t sequence = 0;
     };
 
