Split the run tracker and the dispatcher by what they know

Cause: runtracker.cpp had grown to 507 lines and rundispatcher.cpp to 463, and each mixed two jobs: what homes order, or workers report, and how a run, or a job, is kept until it is over. Change: core/runsupervisor starts, stops and ends the runs of one worker, with the evidence, and judges the worker; RunTracker keeps what homes and the worker say. core/jobsupervisor keeps jobs from arrival to their last run; RunDispatcher keeps workers, refusals and crashes. Counters and the dispatcher's effects have headers of their own. Timers of agents and of jobs are two heaps; no other decision has changed.

--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -11,8 +11,6 @@
 // 100 ms. Interval between checks whether a task under which a worker has crashed must still wait:
 // the few workers of a confined queue are kept for other tasks.
 constexpr Duration CrashedTaskDelay{100'000};
-// 100 ms. Interval between checks whether a late job can still be served.
-constexpr Duration LateCheckInterval{100'000};
 
 Answer endedWith(Outcome outcome, Reason reason)
 {
@@ -26,6 +24,7 @@
 
 RunDispatcher::RunDispatcher(RunDispatcherSettings settings)
     : m_settings(std::move(settings))
+    , m_supervisor(m_settings.waitingShare, m_settings.order)
     , m_refusal(m_settings.overload)
     , m_placer({m_settings.dataCentre, m_settings.remoteDataFactor, m_settings.reservedDeviations,
                 m_settings.choice, m_settings.seed})
@@ -34,13 +33,12 @@
 void RunDispatcher::submit(TimePoint now, CallId call, KeyedJobSpec spec, const QueueRule &rule,
                            std::optional<Duration> timeout, RunNumber firstRun, DispatchOutbox &out)
 {
-    ++m_statistics.jobsSubmitted;
+    ++m_supervisor.statistics().jobsSubmitted;
     const TimePoint deadline = now + timeout.value_or(m_settings.defaultTimeout);
-    if (KeyedJob *known = m_jobs.find(spec.key)) {
+    if (KeyedJob *known = jobsHeld().find(spec.key)) {
         if (known->released)
-            return m_jobs.follow(*known, {std::move(spec), rule, {}, now, deadline}, call);
-        m_timers.schedule(deadline, Timer{TimerKind::Deadline, {spec.key, 0, 0}, {}});
-        return m_jobs.join(*known, call, deadline);
+            return jobsHeld().follow(*known, {std::move(spec), rule, {}, now, deadline}, call);
+        return m_supervisor.join(*known, call, deadline);
     }
     KeyedJob job;
     job.spec = std::move(spec);
@@ -49,84 +47,58 @@
     job.arrived = now;
     job.deadline = deadline;
     job.lastRun = firstRun;
-    m_forecast.apply(job);
-    if (m_jobs.size() >= m_settings.maxJobs) {
-        ++m_statistics.jobsRefused;
+    m_supervisor.forecast().apply(job);
+    if (jobsHeld().size() >= m_settings.maxJobs) {
+        ++m_supervisor.statistics().jobsRefused;
         out.answers.push_back({call, refusal(now, job, Reason::Overload)});
         return;
     }
     if (m_stopTime && now + job.estimate.criticalPath > *m_stopTime) {
-        ++m_statistics.jobsRefused;
+        ++m_supervisor.statistics().jobsRefused;
         out.answers.push_back({call, refusal(now, job, Reason::Stopping)});
         return;
     }
     const JobKey key = job.spec.key;
     if (m_crashes.givenUp(key)) {
-        ++m_statistics.jobsCrashing;
+        ++m_supervisor.statistics().jobsCrashing;
         out.answers.push_back({call, endedWith(Outcome::Failed, Reason::FailsEverywhere)});
         return;
     }
-    addJob(now, std::move(job));
+    m_supervisor.add(now, std::move(job));
     dispatch(now, out);
-    KeyedJob &opened = m_jobs.at(key);
+    KeyedJob &opened = jobsHeld().at(key);
     if (opened.ordersSent == 0)
         refuseIfHopeless(now, opened, out);
 }
 
-void RunDispatcher::addJob(TimePoint now, KeyedJob opened)
-{
-    KeyedJob &job = m_jobs.add(std::move(opened));
-    const JobKey key = job.spec.key;
-    setObjective(job, m_settings.waitingShare);
-    job.rank = m_settings.order.rank(now, job);
-    m_waiting.noteIfEmpty(now);
-    m_demand.arrived(now, job);
-    m_queueLoads.arrived(now, job);
-    job.tasksLeft = static_cast<std::uint32_t>(taskCount(job.spec));
-    for (const KeyedStep &step : job.spec.steps)
-        job.tasks.emplace_back(step.tasks);
-    makeReadySteps(now, job);
-    m_timers.schedule(job.latestStart, Timer{TimerKind::Late, {key, 0, 0}, {}});
-    m_timers.schedule(std::max(now, startTimeout(job)),
-                      Timer{TimerKind::StartTimeout, {key, 0, 0}, {}});
-    m_timers.schedule(job.deadline, Timer{TimerKind::Deadline, {key, 0, 0}, {}});
-}
-
-void RunDispatcher::makeReadySteps(TimePoint now, KeyedJob &job)
-{
-    for (const std::uint32_t step : unblockSteps(job)) {
-        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index)
-            m_waiting.add(now, job, {job.spec.key, step, index});
-    }
-}
-
 void RunDispatcher::dispatch(TimePoint now, DispatchOutbox &out)
 {
     m_isolation.advance(now);
-    auto messages =
-        m_placer.place(now, {m_jobs, m_waiting, m_workers, m_runsAtAgents, m_demand, m_isolation});
-    m_waiting.noteIfEmpty(now);
+    auto messages = m_placer.place(now,
+                                   {jobsHeld(), m_supervisor.waiting(), m_workers, m_runsAtAgents,
+                                    m_supervisor.demand(), m_isolation});
+    m_supervisor.waiting().noteIfEmpty(now);
     for (auto &[agent, message] : messages) {
-        m_statistics.orders += message.orders.size();
+        m_supervisor.statistics().orders += message.orders.size();
         out.messages.emplace_back(agent, std::move(message));
     }
 }
 
 void RunDispatcher::callerLeft(TimePoint now, CallId call, DispatchOutbox &out)
 {
-    KeyedJob *abandoned = m_jobs.leave(call);
+    KeyedJob *abandoned = jobsHeld().leave(call);
     if (abandoned == nullptr)
         return;
-    ++m_statistics.jobsAbandoned;
+    ++m_supervisor.statistics().jobsAbandoned;
     const JobKey key = abandoned->spec.key;
-    release(*abandoned, out);
-    removeIfDrained(now, key, out);
+    m_supervisor.release(*abandoned, out);
+    m_supervisor.removeIfDrained(now, key, out);
     dispatch(now, out);
 }
 
 bool RunDispatcher::cancel(TimePoint now, JobKey key, DispatchOutbox &out)
 {
-    KeyedJob *job = m_jobs.find(key);
+    KeyedJob *job = jobsHeld().find(key);
     if (job == nullptr)
         return false;
     if (!job->released) {
@@ -135,7 +107,7 @@
                begun ? endedWith(Outcome::Failed, Reason::Cancelled)
                      : endedWith(Outcome::NotRun, Reason::CancelledBeforeStart),
                out);
-        removeIfDrained(now, key, out);
+        m_supervisor.removeIfDrained(now, key, out);
     }
     return true;
 }
@@ -143,22 +115,22 @@
 void RunDispatcher::handle(TimePoint now, Incarnation entry, const ReleaseJob &message,
                            DispatchOutbox &out)
 {
-    KeyedJob *job = m_jobs.find(message.job);
+    KeyedJob *job = jobsHeld().find(message.job);
     if (job == nullptr) {
         out.messages.emplace_back(entry, JobReleased{message.number, false});
         return;
     }
     job->releaseRequests.emplace_back(entry, message.number);
     cancel(now, message.job, out);
-    removeIfDrained(now, message.job, out);
+    m_supervisor.removeIfDrained(now, message.job, out);
 }
 
 void RunDispatcher::abandonAll(TimePoint now, DispatchOutbox &out)
 {
-    for (const JobKey key : m_jobs.unreleased()) {
-        KeyedJob &job = m_jobs.at(key);
+    for (const JobKey key : jobsHeld().unreleased()) {
+        KeyedJob &job = jobsHeld().at(key);
         finish(now, job, endedWith(Outcome::Unknown, Reason::HomeSilent), out);
-        removeIfDrained(now, key, out);
+        m_supervisor.removeIfDrained(now, key, out);
     }
 }
 
@@ -172,23 +144,25 @@
 
 void RunDispatcher::refuseHopelessJobs(TimePoint now, DispatchOutbox &out)
 {
-    for (const JobKey key : m_jobs.unstarted())
-        refuseIfHopeless(now, m_jobs.at(key), out);
+    for (const JobKey key : jobsHeld().unstarted())
+        refuseIfHopeless(now, jobsHeld().at(key), out);
 }
 
 void RunDispatcher::agentUp(TimePoint now, const ProcessInfo &agent, DispatchOutbox &out)
 {
     m_workers.linkUp(agent);
+    const std::vector<RunKey> runs = m_runsAtAgents.at(agent.incarnation);
     // Before the question, which makes the agent let the other runs go on.
-    repeatStops(agent.incarnation, out);
-    out.messages.emplace_back(agent.incarnation, RunsAtAgent{m_runsAtAgents.at(agent.incarnation)});
+    if (StopRuns stops = m_supervisor.released(runs); !stops.runs.empty())
+        out.messages.emplace_back(agent.incarnation, std::move(stops));
+    out.messages.emplace_back(agent.incarnation, RunsAtAgent{runs});
     dispatch(now, out);
 }
 
 void RunDispatcher::agentDown(TimePoint now, Incarnation agent)
 {
     m_workers.linkDown(now, agent);
-    m_timers.schedule(now + m_settings.agentGoneAfter, Timer{TimerKind::AgentExpiry, {}, agent});
+    m_agentTimers.schedule(now + m_settings.agentGoneAfter, agent);
 }
 
 void RunDispatcher::handle(TimePoint now, Incarnation agent, const WorkerRoom &message,
@@ -221,10 +195,11 @@
 
 void RunDispatcher::workerCrashed(TimePoint now, const WorkerRecord &record, DispatchOutbox &out)
 {
-    ++m_statistics.workerCrashes;
+    ++m_supervisor.statistics().workerCrashes;
     markRuns(record.agent.incarnation, true);
     const std::string &service = record.room->service;
-    m_isolation.workerCrashed(now, service, record.agent.name, m_queueLoads.loaded(now, service),
+    m_isolation.workerCrashed(now, service, record.agent.name,
+                              m_supervisor.loads().loaded(now, service),
                               m_workers.agentNames(service));
     refuseHopelessJobs(now, out);
 }
@@ -239,7 +214,7 @@
 void RunDispatcher::markRuns(Incarnation agent, bool workerCrashed)
 {
     for (const RunKey &run : m_runsAtAgents.at(agent)) {
-        if (KeyedTask *task = m_jobs.findTask(run, agent))
+        if (KeyedTask *task = jobsHeld().findTask(run, agent))
             task->workerCrashed = workerCrashed;
     }
 }
@@ -249,42 +224,43 @@
 {
     if (!m_runsAtAgents.remove(agent, ended.run))
         return;
-    KeyedTask *task = m_jobs.findTask(ended.run, agent);
+    KeyedTask *task = jobsHeld().findTask(ended.run, agent);
     if (task == nullptr)
         return;
-    KeyedJob &job = m_jobs.at(ended.run.job);
+    KeyedJob &job = jobsHeld().at(ended.run.job);
     const TaskRef ref{ended.run.job, ended.run.step, ended.run.index};
     --job.openRuns;
     if (ended.end != RunResult::Done && !job.released)
         logRunEnded(job, ended, m_workers.nameOf(agent));
-    m_statistics.count(ended.end);
+    m_supervisor.statistics().count(ended.end);
     if (ended.end != RunResult::Done)
         task->avoidedAgent = agent;
     switch (ended.end) {
     case RunResult::Done:
         task->phase = TaskPhase::Done;
         --job.tasksLeft;
-        m_forecast.record(job, ref.step, m_placer.localDataRunTime(*task, ended.runTime));
+        m_supervisor.forecast().record(job, ref.step,
+                                       m_placer.localDataRunTime(*task, ended.runTime));
         break;
     case RunResult::Failed:
         ++task->failures;
         [[fallthrough]];
     case RunResult::Stopped:
-        retryTask(now, job, ref, Duration(0));
+        m_supervisor.retryTask(now, job, ref, Duration(0));
         break;
     case RunResult::Lost:
         if (task->workerCrashed)
             task->crashes = m_crashes.record(now, ended.run);
-        retryTask(now, job, ref, delayAfterCrash(now, job, *task));
+        m_supervisor.retryTask(now, job, ref, delayAfterCrash(now, job, *task));
         break;
     case RunResult::NotStarted:
-        retryTask(now, job, ref, ReturnedOrderRetryDelay);
+        m_supervisor.retryTask(now, job, ref, ReturnedOrderRetryDelay);
         ++task->returnedOrders;
         break;
     }
     if (!job.released)
         continueJob(now, job, *task, out);
-    removeIfDrained(now, ref.job, out);
+    m_supervisor.removeIfDrained(now, ref.job, out);
 }
 
 void RunDispatcher::continueJob(TimePoint now, KeyedJob &job, const KeyedTask &ended,
@@ -293,12 +269,12 @@
     if (ended.failures >= job.rule.maxAttempts)
         return finish(now, job, endedWith(Outcome::Failed, Reason::TaskFailed), out);
     if (m_crashes.givenUp(job.spec.key)) {
-        ++m_statistics.jobsCrashing;
+        ++m_supervisor.statistics().jobsCrashing;
         return finish(now, job, endedWith(Outcome::Failed, Reason::FailsEverywhere), out);
     }
     if (job.tasksLeft == 0)
         return finish(now, job, endedWith(Outcome::Completed, Reason::None), out);
-    makeReadySteps(now, job);
+    m_supervisor.makeReadySteps(now, job);
 }
 
 Duration RunDispatcher::delayAfterCrash(TimePoint now, const KeyedJob &job,
@@ -309,101 +285,57 @@
     return wait ? CrashedTaskDelay : Duration(0);
 }
 
-void RunDispatcher::retryTask(TimePoint now, KeyedJob &job, const TaskRef &ref, Duration delay)
+void RunDispatcher::advance(TimePoint now, DispatchOutbox &out)
 {
-    KeyedTask &task = job.tasks[ref.step][ref.index];
-    if (job.released) {
-        task.phase = TaskPhase::Blocked;
-        return;
+    while (const std::optional<Incarnation> agent = m_agentTimers.popDue(now)) {
+        const WorkerRecord *record = m_workers.find(*agent);
+        // The timer may belong to an earlier absence of the agent.
+        if (record != nullptr && !record->linked
+            && now >= record->unlinkedSince + m_settings.agentGoneAfter)
+            expireAgent(now, *agent, AgentGoneReason::Away, out);
     }
-    if (delay > Duration(0)) {
-        task.phase = TaskPhase::Delayed;
-        m_timers.schedule(now + delay, Timer{TimerKind::TaskReady, ref, {}});
-        return;
+    while (const std::optional<JobTimer> timer = m_supervisor.timers().popDue(now)) {
+        KeyedJob *job = jobsHeld().find(timer->task.job);
+        if (job != nullptr && !job->released)
+            timerDue(now, *job, *timer, out);
     }
-    task.phase = TaskPhase::Ready;
-    m_waiting.add(now, job, ref);
-}
-
-void RunDispatcher::finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out)
-{
-    logJobEnded(job, answer, now, m_waiting.size(), m_workers.records().size());
-    m_statistics.count(answer.outcome);
-    for (const CallId call : m_jobs.takeCalls(job))
-        out.answers.push_back({call, answer});
-    release(job, out);
-}
-
-void RunDispatcher::release(KeyedJob &job, DispatchOutbox &out)
-{
-    job.released = true;
-    m_waiting.removeAll(job);
-    for (auto &[agent, message] : runsToStop(job))
-        out.messages.emplace_back(agent, std::move(message));
+    dispatch(now, out);
 }
 
-void RunDispatcher::repeatStops(Incarnation agent, DispatchOutbox &out)
+void RunDispatcher::timerDue(TimePoint now, KeyedJob &job, const JobTimer &timer,
+                             DispatchOutbox &out)
 {
-    StopRuns stops;
-    for (const RunKey &run : m_runsAtAgents.at(agent)) {
-        const KeyedJob *job = m_jobs.find(run.job);
-        if (job != nullptr && job->released)
-            stops.runs.push_back(run);
+    switch (timer.kind) {
+    case JobTimerKind::TaskReady: {
+        const KeyedTask &task = job.tasks[timer.task.step][timer.task.index];
+        if (task.phase == TaskPhase::Delayed)
+            m_supervisor.retryTask(now, job, timer.task, delayAfterCrash(now, job, task));
+        return;
     }
-    if (!stops.runs.empty())
-        out.messages.emplace_back(agent, std::move(stops));
-}
-
-void RunDispatcher::removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out)
-{
-    std::optional<JobTable::Drained> drained = m_jobs.removeIfDrained(key);
-    if (!drained)
+    case JobTimerKind::Late:
+        // Checked with the rank of a job that is not late: the new one puts it behind all of these.
+        if (job.ordersSent == 0 && !refuseIfHopeless(now, job, out))
+            m_supervisor.demote(now, job);
+        return;
+    case JobTimerKind::StartTimeout:
+        if (job.ordersSent == 0)
+            refuse(now, job, Reason::Overload, out);
         return;
-    for (const auto &[entry, number] : drained->releaseRequests)
-        out.messages.emplace_back(entry, JobReleased{number, true});
-    if (!drained->successor)
+    case JobTimerKind::Deadline:
+        if (now >= job.deadline)
+            deadlinePassed(now, job, out);
         return;
-    m_forecast.apply(*drained->successor);
-    addJob(now, std::move(*drained->successor));
+    }
 }
 
-void RunDispatcher::advance(TimePoint now, DispatchOutbox &out)
+void RunDispatcher::deadlinePassed(TimePoint now, KeyedJob &job, DispatchOutbox &out)
 {
-    while (const std::optional<Timer> timer = m_timers.popDue(now)) {
-        if (timer->kind == TimerKind::AgentExpiry) {
-            const WorkerRecord *record = m_workers.find(timer->agent);
-            // The timer may belong to an earlier absence of the agent.
-            if (record != nullptr && !record->linked
-                && now >= record->unlinkedSince + m_settings.agentGoneAfter)
-                expireAgent(now, timer->agent, AgentGoneReason::Away, out);
-            continue;
-        }
-        KeyedJob *found = m_jobs.find(timer->task.job);
-        if (found == nullptr || found->released)
-            continue;
-        KeyedJob &job = *found;
-        if (timer->kind == TimerKind::TaskReady) {
-            KeyedTask &task = job.tasks[timer->task.step][timer->task.index];
-            if (task.phase == TaskPhase::Delayed) {
-                retryTask(now, job, timer->task, delayAfterCrash(now, job, task));
-            }
-        } else if (timer->kind == TimerKind::Late) {
-            if (job.ordersSent == 0)
-                markLate(now, job, out);
-        } else if (timer->kind == TimerKind::StartTimeout) {
-            if (job.ordersSent > 0)
-                continue;
-            refuse(now, job, Reason::Overload, out);
-        } else if (now >= job.deadline) {
-            const bool begun = job.ordersSent > 0;
-            finish(now, job,
-                   begun ? endedWith(Outcome::Unknown, Reason::DeadlineExceeded)
-                         : endedWith(Outcome::NotRun, Reason::DeadlineBeforeStart),
-                   out);
-            removeIfDrained(now, timer->task.job, out);
-        }
-    }
-    dispatch(now, out);
+    const JobKey key = job.spec.key;
+    finish(now, job,
+           job.ordersSent > 0 ? endedWith(Outcome::Unknown, Reason::DeadlineExceeded)
+                              : endedWith(Outcome::NotRun, Reason::DeadlineBeforeStart),
+           out);
+    m_supervisor.removeIfDrained(now, key, out);
 }
 
 void RunDispatcher::expireAgent(TimePoint now, Incarnation agent, AgentGoneReason reason,
@@ -417,26 +349,12 @@
         runEnded(now, EndedRun{run, RunResult::Lost, Duration(0)}, agent, out);
 }
 
-void RunDispatcher::markLate(TimePoint now, KeyedJob &job, DispatchOutbox &out)
-{
-    // Checked with the rank of a job that is not late; the new rank below puts the job behind all
-    // of these.
-    if (refuseIfHopeless(now, job, out))
-        return;
-    const JobKey key = job.spec.key;
-    const std::vector<TaskRef> waiting = m_waiting.removeAll(job);
-    job.rank = m_settings.order.rank(now, job);
-    for (const TaskRef &ref : waiting)
-        m_waiting.add(now, job, ref);
-    m_timers.schedule(now + LateCheckInterval, Timer{TimerKind::Late, {key, 0, 0}, {}});
-}
-
 bool RunDispatcher::refuseIfHopeless(TimePoint now, KeyedJob &job, DispatchOutbox &out)
 {
     if (m_refusal.evacuated(job, load()))
         return refuse(now, job, Reason::NoWorker, out);
     if (m_refusal.isolated(job, load())) {
-        ++m_statistics.jobsIsolated;
+        ++m_supervisor.statistics().jobsIsolated;
         return refuse(now, job, Reason::NoWorker, out);
     }
     return m_refusal.tooLate(now, job, load()) && refuse(now, job, Reason::Overload, out);
@@ -446,15 +364,15 @@
 {
     const JobKey key = job.spec.key;
     finish(now, job, refusal(now, job, reason), out);
-    removeIfDrained(now, key, out);
+    m_supervisor.removeIfDrained(now, key, out);
     return true;
 }
 
 std::set<std::string> RunDispatcher::missingLabels() const
 {
     std::set<std::string> missing;
-    for (const auto &[rank, ref] : m_waiting.queue()) {
-        const KeyedJob &job = m_jobs.at(ref.job);
+    for (const auto &[rank, ref] : m_supervisor.waiting().queue()) {
+        const KeyedJob &job = jobsHeld().at(ref.job);
         m_workers.addMissingLabels(job.rule.service, job.spec.steps[ref.step], missing);
     }
     return missing;
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -10,17 +10,13 @@
 #include "core/crashhistory.h"
 #include "core/crashisolation.h"
 #include "core/dispatchlog.h"
-#include "core/jobforecast.h"
-#include "core/joborder.h"
+#include "core/dispatchoutbox.h"
 #include "core/jobrefusal.h"
-#include "core/jobtable.h"
+#include "core/jobsupervisor.h"
 #include "core/keyedjob.h"
-#include "core/queueloads.h"
 #include "core/runsatagents.h"
 #include "core/taskplacer.h"
 #include "core/timerheap.h"
-#include "core/urgentdemand.h"
-#include "core/waitingtasks.h"
 #include "core/workerchoice.h"
 #include "core/workerregistry.h"
 
@@ -34,21 +30,6 @@
 
 namespace Bluebellquay {
 
-// The answer to one call that waits for a job.
-struct JobAnswer
-{
-    CallId call;
-    Answer answer;
-};
-
-// Effects of a call to the dispatcher, to be carried out in order.
-struct DispatchOutbox
-{
-    // Messages with the process they are sent to: an agent, or an entry that asked for a release.
-    std::vector<std::pair<Incarnation, Message>> messages;
-    std::vector<JobAnswer> answers;
-};
-
 struct RunDispatcherSettings
 {
     std::string dataCentre;
@@ -74,45 +55,6 @@
     OverloadRule overload;
 };
 
-// Counters since the start of the process.
-struct RunDispatcherStatistics
-{
-    std::uint64_t jobsSubmitted = 0;
-    std::uint64_t jobsCompleted = 0;
-    std::uint64_t jobsFailed = 0;
-    std::uint64_t jobsRefused = 0;
-    std::uint64_t jobsExpired = 0;
-    std::uint64_t jobsAbandoned = 0;
-    std::uint64_t orders = 0;
-    std::uint64_t ordersReturned = 0;
-    std::uint64_t runsDone = 0;
-    std::uint64_t runsFailed = 0;
-    std::uint64_t runsStopped = 0;
-    std::uint64_t runsLost = 0;
-    // Workers whose crash their agent has reported.
-    std::uint64_t workerCrashes = 0;
-    // Jobs given up because workers had crashed under one of their tasks.
-    std::uint64_t jobsCrashing = 0;
-    // Jobs refused because no worker was left to which their queue is confined.
-    std::uint64_t jobsIsolated = 0;
-
-    void count(Outcome outcome)
-    {
-        jobsCompleted += outcome == Outcome::Completed ? 1 : 0;
-        jobsFailed += outcome == Outcome::Failed ? 1 : 0;
-        jobsRefused += outcome == Outcome::NotRun ? 1 : 0;
-        jobsExpired += outcome == Outcome::Unknown ? 1 : 0;
-    }
-    void count(RunResult end)
-    {
-        runsDone += end == RunResult::Done ? 1 : 0;
-        runsFailed += end == RunResult::Failed ? 1 : 0;
-        runsStopped += end == RunResult::Stopped ? 1 : 0;
-        runsLost += end == RunResult::Lost ? 1 : 0;
-        ordersReturned += end == RunResult::NotStarted ? 1 : 0;
-    }
-};
-
 class RunDispatcher
 {
 public:
@@ -155,34 +97,23 @@
 
     // Handles the timers that have expired, then places waiting tasks.
     void advance(TimePoint now, DispatchOutbox &out);
-    std::optional<TimePoint> nextWakeup() const { return m_timers.next(); }
+    std::optional<TimePoint> nextWakeup() const
+    {
+        return earliest(m_agentTimers.next(), m_supervisor.timers().next());
+    }
 
     // Number of jobs of the queue for which no order has been sent.
-    std::size_t pending(const std::string &queue) const { return m_jobs.unstarted(queue); }
-    std::size_t openJobs() const { return m_jobs.calls(); }
-    std::size_t jobs() const { return m_jobs.size(); }
+    std::size_t pending(const std::string &queue) const { return jobsHeld().unstarted(queue); }
+    std::size_t openJobs() const { return jobsHeld().calls(); }
+    std::size_t jobs() const { return jobsHeld().size(); }
     bool anyWorker() const { return m_workers.anyReported(); }
     // Labels that waiting tasks require and that no linked worker has. Contains AcceleratorLabel if
     // tasks wait for accelerators that no worker has.
     std::set<std::string> missingLabels() const;
-    const RunDispatcherStatistics &statistics() const { return m_statistics; }
+    const RunDispatcherStatistics &statistics() const { return m_supervisor.statistics(); }
     const WorkerRegistry &workers() const { return m_workers; }
 
 private:
-    // StartTimeout: the job is refused if it has not started by then. Late: the job can no longer
-    // be done by its objective if it has not started by then.
-    enum class TimerKind : std::uint8_t { Deadline, Late, StartTimeout, TaskReady, AgentExpiry };
-    struct Timer
-    {
-        TimerKind kind;
-        TaskRef task;
-        Incarnation agent;
-    };
-
-    // Adds a job to the queue: computes its objective and rank, and schedules its timers.
-    void addJob(TimePoint now, KeyedJob opened);
-    // Queues the tasks of all steps whose dependencies are done.
-    void makeReadySteps(TimePoint now, KeyedJob &job);
     // Runs a scheduling pass: places waiting tasks on workers, in the order of their ranks.
     void dispatch(TimePoint now, DispatchOutbox &out);
     // Handles the end of a run. Ends of runs that are not at this agent are ignored.
@@ -198,16 +129,13 @@
     void continueJob(TimePoint now, KeyedJob &job, const KeyedTask &ended, DispatchOutbox &out);
     // Delay before a task is tried again, or looked at again, because a worker crashed under it.
     Duration delayAfterCrash(TimePoint now, const KeyedJob &job, const KeyedTask &task) const;
-    // Queues the task again after this delay.
-    void retryTask(TimePoint now, KeyedJob &job, const TaskRef &ref, Duration delay);
     // Answers all calls of the job and releases it.
-    void finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out);
-    // Stops the runs of the job. The job is removed when its last run has ended.
-    void release(KeyedJob &job, DispatchOutbox &out);
-    // The stops of released jobs may have been lost with the agent's previous link.
-    void repeatStops(Incarnation agent, DispatchOutbox &out);
-    // Removes a released job that has no runs left, and adds its successor if there is one.
-    void removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out);
+    void finish(TimePoint now, KeyedJob &job, const Answer &answer, DispatchOutbox &out)
+    {
+        m_supervisor.finish(now, job, answer, m_workers.records().size(), out);
+    }
+    void timerDue(TimePoint now, KeyedJob &job, const JobTimer &timer, DispatchOutbox &out);
+    void deadlinePassed(TimePoint now, KeyedJob &job, DispatchOutbox &out);
     // Removes an agent that has stopped all runs of this home, and counts these as lost.
     void expireAgent(TimePoint now, Incarnation agent, AgentGoneReason reason, DispatchOutbox &out);
     // Refuses a job that has not started if it can't be served in time or at all. Returns whether
@@ -215,30 +143,29 @@
     bool refuseIfHopeless(TimePoint now, KeyedJob &job, DispatchOutbox &out);
     // Refuses the job; returns true.
     bool refuse(TimePoint now, KeyedJob &job, Reason reason, DispatchOutbox &out);
-    // Refuses a job that has not started by its latest start, or moves its tasks behind those of
-    // jobs that are not late.
-    void markLate(TimePoint now, KeyedJob &job, DispatchOutbox &out);
     // Answer that refuses the job.
     Answer refusal(TimePoint now, const KeyedJob &job, Reason reason) const
     {
         return m_refusal.answer(now, job, reason, load());
     }
-    HomeLoad load() const { return {m_jobs.all(), m_waiting, m_workers, m_demand, m_isolation}; }
+    HomeLoad load() const
+    {
+        return {jobsHeld().all(), m_supervisor.waiting(), m_workers, m_supervisor.demand(),
+                m_isolation};
+    }
+    JobTable &jobsHeld() { return m_supervisor.jobs(); }
+    const JobTable &jobsHeld() const { return m_supervisor.jobs(); }
 
     RunDispatcherSettings m_settings;
-    RunDispatcherStatistics m_statistics;
+    JobSupervisor m_supervisor;
     WorkerRegistry m_workers;
-    JobForecast m_forecast;
-    UrgentDemand m_demand;
     JobRefusal m_refusal;
     TaskPlacer m_placer;
     CrashIsolation m_isolation;
     CrashHistory m_crashes;
-    QueueLoads m_queueLoads;
-    JobTable m_jobs;
-    WaitingTasks m_waiting;
     RunsAtAgents m_runsAtAgents;
-    TimerHeap<Timer> m_timers;
+    // When agents without a link count as gone.
+    TimerHeap<Incarnation> m_agentTimers;
     // Time at which the process exits, if known.
     std::optional<TimePoint> m_stopTime;
 };
