Share the set-up of the worker client's and the run tracker's tests

Cause: five tests of the worker client each built a server and a client of their own, two cases of the run tracker told the same suspension, and most of its new cases spelled out the same two steps. Change: ScriptedWorker serves all tests of the client but the one that breaks connections; LedgerFixture has run() and onlyEnd(); the two cases on a suspended machine are one, with the checks of both. Where a case of the agent process said "not done", it says "lost" now.

--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -46,6 +46,12 @@
             {index, RunNumber(run), OrderNumber(++lastOrder), 100ms, 0, mayWait});
         ledger.handle(now, home, message, out);
     }
+    // The worker has accepted the start.
+    void run(std::uint32_t index, std::uint32_t cpu)
+    {
+        order(index, cpu);
+        ledger.startAnswered(now, key(index), StartAnswer::Accepted, out);
+    }
     void account(std::vector<RunKey> running, std::vector<ListedEnd> ended,
                  std::optional<TimePoint> askedAt = std::nullopt)
     {
@@ -87,6 +93,13 @@
         return found;
     }
 
+    // The only end that was sent to the home.
+    EndedRun onlyEnd(Incarnation home = Home) const
+    {
+        REQUIRE(ends(home).size() == 1);
+        return ends(home).front();
+    }
+
     // The latest report to the home; null if there is none.
     const WorkerRoom *lastRoom() const
     {
@@ -266,21 +279,23 @@
     CHECK(out.stops.empty());
 }
 
-// The steady clock leaves a suspension out: without this, a start would be repeated with a new
-// lease after its home has given the agent up and has ordered the task elsewhere.
+// Homes count the runs of an agent that they have given up as lost; neither the lease nor a timer
+// of the agent ends them, since steady clocks leave a suspension out.
 TEST_CASE_METHOD(LedgerFixture, "no start is repeated after the machine was suspended")
 {
     order(0, 40'000);
-    order(1, 10'000);
-    ledger.startAnswered(now, key(1), StartAnswer::Accepted, out);
+    run(1, 10'000);
+    order(2, 40'000);
     clear();
     ledger.machineSuspended(now, out);
     REQUIRE(out.stops.size() == 2);
     CHECK(out.stops[0].run == key(0));
     CHECK(out.stops[1].run == key(1));
+    CHECK(onlyEnd() == EndedRun{key(2), RunResult::NotStarted, Duration(0)});
     clear();
     pass(StartAttempts::RepeatInterval);
     ledger.advance(now, out);
+    account({}, {{key(0), RunResult::Stopped}, {key(1), RunResult::Stopped}});
     CHECK(out.starts.empty());
 }
 
@@ -331,8 +346,7 @@
     CHECK(ends().empty());
     CHECK(ledger.freeRoom().milliProcessors == 24'000);
     account({}, {{key(0), RunResult::Stopped}});
-    REQUIRE(ends().size() == 1);
-    CHECK(ends()[0].end == RunResult::Stopped);
+    CHECK(onlyEnd().end == RunResult::Stopped);
 }
 
 TEST_CASE_METHOD(LedgerFixture,
@@ -623,25 +637,6 @@
     CHECK(lastRoom()->accepting);
 }
 
-// Homes count the runs of an agent that they have given up as lost; neither the lease nor a timer
-// of the agent ends them, since steady clocks leave a suspension out.
-TEST_CASE_METHOD(LedgerFixture, "no run goes on and no order waits after the machine was suspended")
-{
-    order(0, 40'000);
-    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
-    order(1, 40'000);
-    clear();
-    ledger.machineSuspended(now, out);
-    REQUIRE(out.stops.size() == 1);
-    CHECK(out.stops[0].run == key(0));
-    REQUIRE(ends().size() == 1);
-    CHECK(ends()[0].run == key(1));
-    CHECK(ends()[0].end == RunResult::NotStarted);
-    clear();
-    account({}, {{key(0), RunResult::Stopped}});
-    CHECK(out.starts.empty());
-}
-
 TEST_CASE_METHOD(LedgerFixture,
                  "a run is not lost with its worker if the next life may have accepted a repeat")
 {
@@ -658,8 +653,7 @@
     {
         account({key(0)}, {});
         replaceWorker();
-        REQUIRE(ends().size() == 1);
-        CHECK(ends()[0].end == RunResult::Lost);
+        CHECK(onlyEnd().end == RunResult::Lost);
     }
     SECTION("only listings of before show it")
     {
@@ -702,15 +696,13 @@
 
 TEST_CASE_METHOD(LedgerFixture, "a run whose end the worker has yet to list is not lost")
 {
-    order(0, 40'000);
-    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    run(0, 40'000);
     clear();
     pass(5ms);
     ledger.listingReceived(now, {profile.identity, now, {}, {}, 0, 0, true}, out);
     CHECK(ends().empty());
     account({}, {{key(0), RunResult::Done}});
-    REQUIRE(ends().size() == 1);
-    CHECK(ends()[0].end == RunResult::Done);
+    CHECK(onlyEnd().end == RunResult::Done);
 }
 
 // Guards against two overlapping runs of a task: a home that has given the agent up counts its runs
@@ -739,19 +731,16 @@
 {
     const bool over = GENERATE(false, true);
     ledger.homeUp(OtherHome);
-    order(0, 20'000);
-    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    run(0, 20'000);
     if (over)
         account({}, {{key(0), RunResult::Done}});
     clear();
     order(0, 20'000, 1, true, OtherHome);
     CHECK(out.starts.empty());
-    REQUIRE(ends(OtherHome).size() == 1);
-    CHECK(ends(OtherHome)[0].end == RunResult::NotStarted);
+    CHECK(onlyEnd(OtherHome).end == RunResult::NotStarted);
     clear();
     ledger.handle(now, OtherHome, RunsAtAgent{{key(0)}}, out);
-    REQUIRE(ends(OtherHome).size() == 1);
-    CHECK(ends(OtherHome)[0].end == RunResult::NotStarted);
+    CHECK(onlyEnd(OtherHome).end == RunResult::NotStarted);
     ledger.handle(now, OtherHome, StopRuns{{key(0)}}, out);
     CHECK(out.stops.empty());
     clear();
@@ -760,8 +749,7 @@
     else
         ledger.handle(now, Home, RunsAtAgent{{key(0)}}, out);
     CHECK(ends(OtherHome).empty());
-    REQUIRE(ends().size() == 1);
-    CHECK(ends()[0].end == RunResult::Done);
+    CHECK(onlyEnd().end == RunResult::Done);
 }
 
 // Guards against two overlapping runs of a task on one worker: two homes may hold its job for a
@@ -769,8 +757,7 @@
 TEST_CASE_METHOD(LedgerFixture, "a task is not started while another run of it is on the worker")
 {
     ledger.homeUp(OtherHome);
-    order(0, 20'000);
-    ledger.startAnswered(now, key(0), StartAnswer::Accepted, out);
+    run(0, 20'000);
     clear();
     order(0, 20'000, 2, false, OtherHome);
     CHECK(out.starts.empty());
@@ -786,8 +773,7 @@
         pass(250ms);
         ledger.advance(now, out);
         CHECK(out.starts.empty());
-        REQUIRE(ends(OtherHome).size() == 1);
-        CHECK(ends(OtherHome)[0].end == RunResult::NotStarted);
+        CHECK(onlyEnd(OtherHome).end == RunResult::NotStarted);
     }
 }
 
@@ -800,8 +786,7 @@
     order(0, 20'000);
     CHECK(out.starts.empty());
     CHECK(ledger.runs() == 0);
-    REQUIRE(ends().size() == 1);
-    CHECK(ends()[0].end == RunResult::NotStarted);
+    CHECK(onlyEnd().end == RunResult::NotStarted);
     ledger.homeUp(Home);
     order(0, 20'000);
     CHECK(out.starts.size() == 1);
--- a/tests/platform/agentprocesstest.cpp
+++ b/tests/platform/agentprocesstest.cpp
@@ -200,7 +200,7 @@
 {
     startTask(60s);
     worker->crash();
-    CHECK(onlyEnd() != RunResult::Done);
+    CHECK(onlyEnd() == RunResult::Lost);
     CHECK(until([this] { return room.accepting; }));
     ends.clear();
     startTask(10ms);
@@ -222,6 +222,6 @@
     startTask(60s);
     worker->setLostAnswers(1);
     PlatformWorker next(context, timers, judge, "i-2", loopback(announcePort), 2);
-    CHECK(onlyEnd() != RunResult::Done);
+    CHECK(onlyEnd() == RunResult::Lost);
     CHECK(until([this] { return room.accepting; }));
 }
--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -26,88 +26,103 @@
 
 namespace {
 
-// A worker that has seen orders with this fencing token.
-class FencedWorker
+constexpr const char *EmptyListing = R"({"clockMs":5000,"running":[],"ended":[],"born":7})";
+constexpr std::uint64_t SeenToken = 1'000'000;
+
+// A worker that answers as a test says, and the client that follows it.
+class ScriptedWorker
 {
 public:
-    static constexpr std::uint64_t SeenToken = 1'000'000;
-
-    FencedWorker()
+    using Answer = std::function<std::optional<HttpResponse>(const std::string &target,
+                                                             const nlohmann::json &call)>;
+
+    // No answer: the call stays open.
+    explicit ScriptedWorker(Answer answer, std::uint64_t token = 1)
+        : client(context, timers, bounds, token,
+                 {[this](const RunKey &, StartAnswer said) { startAnswer = said; },
+                  [](const RunKey &, bool) {}, [this](const RunListing &) { ++listings; },
+                  [] { return true; }, [this] { ++leasesExpired; }, [this] { refused = true; },
+                  [] {}})
+        , m_answer(std::move(answer))
     {
         HttpServerSettings settings;
         settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-        server = HttpServer::create(context, timers, settings,
-                                    [this](const HttpRequest &request,
-                                           const std::shared_ptr<HttpExchange> &exchange) {
-                                        answer(request, *exchange);
-                                    })
-                     .value();
+        m_server =
+            HttpServer::create(
+                context, timers, settings,
+                [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                    ++calls;
+                    auto said = m_answer(request.target, nlohmann::json::parse(request.body));
+                    if (said)
+                        return exchange->respond(std::move(*said));
+                    m_unanswered.push_back(exchange);
+                })
+                .value();
     }
 
-    void answer(const HttpRequest &request, HttpExchange &exchange)
+    void follow(std::uint64_t born = 7)
     {
-        const auto body = nlohmann::json::parse(request.body);
-        if (body["fencingToken"].get<std::uint64_t>() < SeenToken)
-            return exchange.respond({409, R"({"clockMs":5000,"reason":"fence","born":7})", {}});
-        starts += request.target == "/v1/run-start" ? 1 : 0;
-        exchange.respond({200, R"({"clockMs":5000,"running":[],"ended":[],"born":7})", {}});
+        client.follow({"i-1", born}, {boost::asio::ip::address_v4::loopback(), m_server->port()});
     }
-
-    // Starts a run again and again, as homes do, until the worker has accepted it or the time is
-    // up.
-    bool startsWithin(Duration span, std::uint64_t token)
+    StartAnswer start(std::uint64_t run = 1)
     {
-        bool accounted = false;
-        bool pending = false;
-        WorkerClient client(context, timers, PlatformBounds(), token,
-                            {[&](const RunKey &, StartAnswer) { pending = false; },
-                             [](const RunKey &, bool) {},
-                             [&](const RunListing &) { accounted = true; }, [] { return true; },
-                             [] {}, [] {}, [] {}});
-        client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
-        std::uint64_t run = 0;
-        for (const TimePoint end = timers.now() + span; starts == 0 && timers.now() < end;) {
-            if (accounted && !std::exchange(pending, true))
-                client.start({RunKey{JobKey(1), 0, 0, RunNumber(++run)}, "payload"});
-            context.run_one_for(1ms);
-        }
-        return starts > 0;
+        startAnswer.reset();
+        client.start({RunKey{JobKey(1), 0, 0, RunNumber(run)}, "payload"});
+        REQUIRE(until([this] { return startAnswer.has_value(); }));
+        return *startAnswer;
     }
-
-    // Follows the worker, ends it at its first answer, and tells how often its lease was reported
-    // to have run out, and whether it was found gone.
-    struct Crash
+    void crash() { m_server.reset(); }
+    bool until(const std::function<bool()> &condition)
     {
-        int leasesExpired = 0;
-        bool refused = false;
-    };
-    // Goes on for a while after both were seen.
-    Crash crashWithin(Duration span, Duration after = Duration(0))
+        return Testing::runUntil(context, condition);
+    }
+    void pass(Duration span)
     {
-        Crash seen;
-        bool answered = false;
-        WorkerClient client(context, timers, PlatformBounds(), SeenToken,
-                            {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
-                             [&](const RunListing &) { answered = true; }, [] { return true; },
-                             [&] { ++seen.leasesExpired; }, [&] { seen.refused = true; }, [] {}});
-        client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
-        TimePoint end = timers.now() + span;
-        for (bool done = false; timers.now() < end;) {
+        for (const TimePoint end = timers.now() + span; timers.now() < end;)
             context.run_one_for(1ms);
-            if (answered)
-                server.reset();
-            if (seen.leasesExpired > 0 && seen.refused && !std::exchange(done, true))
-                end = timers.now() + after;
-        }
-        return seen;
     }
 
     boost::asio::io_context context;
     TimerService timers{context};
-    std::unique_ptr<HttpServer> server;
-    int starts = 0;
+    PlatformBounds bounds;
+    int calls = 0;
+    int listings = 0;
+    int leasesExpired = 0;
+    bool refused = false;
+    std::optional<StartAnswer> startAnswer;
+    WorkerClient client;
+
+private:
+    Answer m_answer;
+    std::unique_ptr<HttpServer> m_server;
+    std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
 };
 
+HttpResponse listing()
+{
+    return {200, EmptyListing, {}};
+}
+
+// Of a worker that has seen orders with SeenToken.
+HttpResponse fenced(const nlohmann::json &call)
+{
+    if (call["fencingToken"].get<std::uint64_t>() < SeenToken)
+        return {409, R"({"clockMs":5000,"reason":"fence","born":7})", {}};
+    return listing();
+}
+
+// A worker whose process ends after its first listing, when the client has found that.
+std::unique_ptr<ScriptedWorker> crashedWorker()
+{
+    auto worker = std::make_unique<ScriptedWorker>(
+        [](const std::string &, const nlohmann::json &) { return listing(); });
+    worker->follow();
+    REQUIRE(worker->until([&] { return worker->listings > 0; }));
+    worker->crash();
+    REQUIRE(worker->until([&] { return worker->leasesExpired > 0 && worker->refused; }));
+    return worker;
+}
+
 // Answers its first call. With its first start it is gone, as a crashed process is: that connection
 // breaks and nothing listens any more, while the renewals that wait on others hear nothing.
 class VanishingWorker
@@ -189,79 +204,14 @@
 // How the answer of a worker that replies to a start like this is reported.
 StartAnswer reportedAnswer(unsigned status, const std::string &body)
 {
-    boost::asio::io_context context;
-    TimerService timers(context);
-    HttpServerSettings settings;
-    settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-    const auto server =
-        HttpServer::create(
-            context, timers, settings,
-            [&](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-                if (request.target == "/v1/run-start")
-                    return exchange->respond({status, body, {}});
-                exchange->respond({200, R"({"clockMs":5,"running":[],"ended":[],"born":7})", {}});
-            })
-            .value();
-    std::optional<StartAnswer> reported;
-    bool listed = false;
-    WorkerClient client(context, timers, PlatformBounds(), 1,
-                        {[&](const RunKey &, StartAnswer answer) { reported = answer; },
-                         [](const RunKey &, bool) {}, [&](const RunListing &) { listed = true; },
-                         [] { return false; }, [] {}, [] {}, [] {}});
-    client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
-    while (!listed)
-        context.run_one();
-    client.start({RunKey{JobKey(1), 0, 0, RunNumber(1)}, "payload"});
-    while (!reported)
-        context.run_one();
-    return *reported;
+    ScriptedWorker worker([&](const std::string &target, const nlohmann::json &) {
+        return target == "/v1/run-start" ? HttpResponse{status, body, {}} : listing();
+    });
+    worker.follow();
+    REQUIRE(worker.until([&] { return worker.listings > 0; }));
+    return worker.start();
 }
 
-// Answers its calls as a test says. Its client is told nothing.
-class ScriptedWorker
-{
-public:
-    using Answer = std::function<HttpResponse(const nlohmann::json &call)>;
-
-    explicit ScriptedWorker(Answer answer)
-        : m_answer(std::move(answer))
-    {
-        HttpServerSettings settings;
-        settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-        m_server =
-            HttpServer::create(
-                context, timers, settings,
-                [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-                    exchange->respond(m_answer(nlohmann::json::parse(request.body)));
-                })
-                .value();
-    }
-
-    void follow(std::uint64_t born)
-    {
-        client.follow({"i-1", born}, {boost::asio::ip::address_v4::loopback(), m_server->port()});
-    }
-    void pass(Duration span)
-    {
-        for (const TimePoint end = timers.now() + span; timers.now() < end;)
-            context.run_one_for(1ms);
-    }
-
-    boost::asio::io_context context;
-    TimerService timers{context};
-    PlatformBounds bounds;
-    WorkerClient client{context,
-                        timers,
-                        bounds,
-                        1,
-                        {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
-                         [](const RunListing &) {}, [] { return true; }, [] {}, [] {}, [] {}}};
-
-private:
-    Answer m_answer;
-    std::unique_ptr<HttpServer> m_server;
-};
-
 } // namespace
 
 // Guards against a second run of a task whose start was carried out although the reply was an
@@ -288,51 +238,40 @@
 
 TEST_CASE("an end that can't be read and is listed again and again is not asked for without pause")
 {
-    boost::asio::io_context context;
-    TimerService timers(context);
-    HttpServerSettings settings;
-    settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-    int calls = 0;
-    const auto server =
-        HttpServer::create(
-            context, timers, settings,
-            [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
-                ++calls;
-                exchange->respond(
-                    {200, R"({"clockMs":5,"running":[],"ended":[["x"]],"born":7})", {}});
-            })
-            .value();
-    WorkerClient client(context, timers, PlatformBounds(), 1,
-                        {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
-                         [](const RunListing &) {}, [] { return true; }, [] {}, [] {}, [] {}});
-    client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
-    for (const TimePoint end = timers.now() + 400ms; timers.now() < end;)
-        context.run_one_for(1ms);
-    CHECK(calls <= 50);
-    CHECK(calls > 5);
+    ScriptedWorker worker([](const std::string &, const nlohmann::json &) {
+        return HttpResponse{200, R"({"clockMs":5,"running":[],"ended":[["x"]],"born":7})", {}};
+    });
+    worker.follow();
+    worker.pass(400ms);
+    CHECK(worker.calls <= 50);
+    CHECK(worker.calls > 5);
 }
 
 TEST_CASE("an agent that starts after its clock was set back still gets its orders carried out")
 {
     for (const std::uint64_t behind : {1U, 2'000U, 60'000U}) {
         CAPTURE(behind);
-        FencedWorker worker;
-        CHECK(worker.startsWithin(10s, FencedWorker::SeenToken - behind));
+        ScriptedWorker worker(
+            [](const std::string &, const nlohmann::json &call) { return fenced(call); },
+            SeenToken - behind);
+        worker.follow();
+        REQUIRE(worker.until([&] { return worker.listings > 0; }));
+        CHECK(worker.start() == StartAnswer::Accepted);
     }
 }
 
 TEST_CASE("the lease of a worker that is gone runs out, though renewals go on being tried")
 {
-    FencedWorker worker;
-    const FencedWorker::Crash seen = worker.crashWithin(10s);
-    CHECK(seen.leasesExpired > 0);
-    CHECK(seen.refused);
+    const auto worker = crashedWorker();
+    CHECK(worker->leasesExpired > 0);
+    CHECK(worker->refused);
 }
 
 TEST_CASE("an expired lease is reported once, though renewals go on being tried")
 {
-    FencedWorker worker;
-    CHECK(worker.crashWithin(10s, 500ms).leasesExpired == 1);
+    const auto worker = crashedWorker();
+    worker->pass(500ms);
+    CHECK(worker->leasesExpired == 1);
 }
 
 TEST_CASE("a worker whose connections break is found gone before the next renewal")
@@ -344,14 +283,14 @@
 TEST_CASE("the next life of a worker that left gets a higher fencing token than late calls carry")
 {
     std::vector<std::uint64_t> tokens;
-    ScriptedWorker worker([&](const nlohmann::json &call) {
+    ScriptedWorker worker([&](const std::string &, const nlohmann::json &call) {
         tokens.push_back(call["fencingToken"].get<std::uint64_t>());
-        return HttpResponse{200, R"({"clockMs":5,"running":[],"ended":[],"born":7})", {}};
+        return listing();
     });
     const auto callUnder = [&](std::uint64_t born) {
         tokens.clear();
-        for (worker.follow(born); tokens.empty();)
-            worker.context.run_one_for(1ms);
+        worker.follow(born);
+        REQUIRE(worker.until([&] { return !tokens.empty(); }));
         return tokens.back();
     };
     const std::uint64_t before = callUnder(7);
@@ -367,11 +306,11 @@
     std::optional<TimePoint> read;
     int leases = 0;
     int tooLong = 0;
-    ScriptedWorker worker([&](const nlohmann::json &call) {
+    ScriptedWorker worker([&](const std::string &, const nlohmann::json &call) {
         const TimePoint now = worker.timers.now();
         if (!read) {
             read = now;
-            return HttpResponse{200, R"({"clockMs":5000,"running":[],"ended":[],"born":7})", {}};
+            return listing();
         }
         if (call.contains("deadlineMs")) {
             const Duration lease = std::chrono::milliseconds(call["deadlineMs"].get<int>() - 5'000);
@@ -381,42 +320,24 @@
         }
         return HttpResponse{503, {}, {}};
     });
-    worker.follow(7);
+    worker.follow();
     worker.pass(700ms);
     CHECK(leases > 0);
     CHECK(tooLong == 0);
 }
 
-// Guards against runs that never end, and a next worker that is never followed, beside a worker
-// that hangs: each renewal without an answer may have renewed the lease.
+// Guards against runs that never end beside a worker that hangs: each renewal without an answer may
+// have renewed the lease.
 TEST_CASE("the lease of a worker that answers nothing any more runs out")
 {
-    boost::asio::io_context context;
-    TimerService timers(context);
     bool silent = false;
-    std::vector<std::shared_ptr<HttpExchange>> unanswered;
-    HttpServerSettings settings;
-    settings.endpoint = {boost::asio::ip::address_v4::loopback(), 0};
-    const auto server =
-        HttpServer::create(
-            context, timers, settings,
-            [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
-                if (silent)
-                    return unanswered.push_back(exchange);
-                exchange->respond(
-                    {200, R"({"clockMs":5000,"running":[],"ended":[],"born":7})", {}});
-            })
-            .value();
-    int listings = 0;
-    int expired = 0;
-    WorkerClient client(context, timers, PlatformBounds(), 1,
-                        {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
-                         [&](const RunListing &) { ++listings; }, [] { return true; },
-                         [&] { ++expired; }, [] {}, [] {}});
-    client.follow({"i-1", 7}, {boost::asio::ip::address_v4::loopback(), server->port()});
-    REQUIRE(Testing::runUntil(context, [&] { return listings > 2; }));
-    CHECK(expired == 0);
+    ScriptedWorker worker([&](const std::string &, const nlohmann::json &) {
+        return silent ? std::nullopt : std::optional(listing());
+    });
+    worker.follow();
+    REQUIRE(worker.until([&] { return worker.listings > 2; }));
+    CHECK(worker.leasesExpired == 0);
     silent = true;
-    CHECK(Testing::runUntil(context, [&] { return expired > 0; }));
-    CHECK(client.leasesOver());
+    CHECK(worker.until([&] { return worker.leasesExpired > 0; }));
+    CHECK(worker.client.leasesOver());
 }
