--- a/source/core/endevidence.h
+++ b/source/core/endevidence.h
@@ -1,4 +1,4 @@
-// By what an agent knows that a run on its worker is over, or never began. A run that is over may
+// What proves to an agent that a run on its worker is over, or never began. A run that is over may
 // be started on another worker, so nothing else ends one: neither what a third party says, nor
 // silence, nor a refusal by the network.
 #pragma once
--- a/source/core/jobsupervisor.h
+++ b/source/core/jobsupervisor.h
@@ -32,7 +32,7 @@
 class JobSupervisor
 {
 public:
-    // The share of its slack that a job may spend waiting for a worker.
+    // waitingShare: share of its slack that a job may spend waiting for a worker.
     JobSupervisor(double waitingShare, LeastTimeLeftFirst order)
         : m_waitingShare(waitingShare)
         , m_order(order)
@@ -55,7 +55,7 @@
     void release(KeyedJob &job, DispatchOutbox &out);
     // Removes a released job that has no runs left, and adds its successor if there is one.
     void removeIfDrained(TimePoint now, JobKey key, DispatchOutbox &out);
-    // Those of the runs whose job is released.
+    // Message that stops those of the runs whose job is released.
     StopRuns released(const std::vector<RunKey> &runs);
 
     JobTable &jobs() { return m_jobs; }
--- a/source/core/retainedends.h
+++ b/source/core/retainedends.h
@@ -38,7 +38,7 @@
     struct RetainedEnd
     {
         EndedRun end;
-        // That had ordered the run.
+        // The home that ordered the run.
         Incarnation home;
         // When the run ended.
         TimePoint at;
--- a/source/core/runsupervisor.h
+++ b/source/core/runsupervisor.h
@@ -62,9 +62,8 @@
     // lost. Other started runs may have reached the new one and are stopped there.
     void workerReplaced(TimePoint now, RunOutbox &out);
 
-    // Repeats calls. Returns whether orders may have waited for too long, or a suspended worker may
-    // be tried; those orders have been returned. Exceeded: the worker's capacity has shrunk below
-    // what runs hold.
+    // Repeats unanswered calls, and returns orders that have waited for too long. Returns whether
+    // other orders may start now. Exceeded: the worker's capacity has shrunk below what runs hold.
     bool advance(TimePoint now, bool exceeded, RunOutbox &out);
     std::optional<TimePoint> nextWakeup() const
     {
@@ -77,7 +76,7 @@
     const WorkerHealth &health() const { return m_health; }
     RunTrackerStatistics &statistics() { return m_statistics; }
     const RunTrackerStatistics &statistics() const { return m_statistics; }
-    // For the log.
+    // Name of the worker in log lines.
     void setWorkerName(std::string name) { m_workerName = std::move(name); }
     void logUnavailable(TimePoint now, std::string_view reason) const;
 
@@ -91,7 +90,7 @@
 
     void end(TimePoint now, TrackedRuns::Runs::iterator position, RunResult how,
              EndEvidence evidence, RunOutbox &out);
-    // Judges the worker by the end of a run that it had started.
+    // Updates the judgement of the worker after the end of a run that it had started.
     void judge(TimePoint now, const TrackedRun &run, const EndedRun &ended, RunOutbox &out);
     void adoptForeignRun(TimePoint now, const RunKey &key, TimePoint askedAt, RunOutbox &out);
     void checkStandstill(TimePoint now, RunOutbox &out);
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -103,6 +103,7 @@
     // Takes no orders until the worker answers again. Returns whether it took any before.
     bool closeUntilAnswer(TimePoint now, std::string_view reason, RunOutbox &out);
     const TrackedRuns &tracked() const { return m_supervisor.runs(); }
+    // Another life of the worker has answered in the place of the previous one.
     void replaceWorker(TimePoint now, RunOutbox &out);
     void reportRooms(TimePoint now, RunOutbox &out);
     WorkerRoom describeRoom(TimePoint now) const;
--- a/source/core/workercalls.h
+++ b/source/core/workercalls.h
@@ -74,7 +74,7 @@
     std::vector<ListedEnd> ended;
     // Rows of the lists that could not be read.
     std::uint32_t unreadable = 0;
-    // Part of them in the list of running runs.
+    // Those of them that are in the list of running runs.
     std::uint32_t unreadableRunning = 0;
     // More runs may have ended than are listed.
     bool moreEnds = false;
--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -103,7 +103,7 @@
     return {200, EmptyListing, {}};
 }
 
-// Of a worker that has seen orders with SeenToken.
+// Answer of a worker that has seen orders with SeenToken.
 HttpResponse fenced(const nlohmann::json &call)
 {
     if (call["fencingToken"].get<std::uint64_t>() < SeenToken)
