Limit a worker's lease by the last message of each home whose runs it covers

What could be seen: a caller got 504 while the agent of its task's worker was frozen, submitted the job again elsewhere 1.3 s later, and the task ran twice at once.

Cause: an agent that wakes renews the lease of everything on its worker for a whole second, 50 ms before it has its links back and with them the stops of its homes. If it freezes again in between, the run outlasts the resubmission.

Why it works: no lease is asked for that lasts longer than 1,200 ms after the last message of a home whose run it covers, or after the home has released the run, so a run that nobody can stop has lapsed before its job comes again. Messages on a new link count after the home's question, which follows the stops that it repeats. Homes are heard every 225 ms at most, so leases are shorter only in trouble.

--- a/source/core/runsupervisor.cpp
+++ b/source/core/runsupervisor.cpp
@@ -60,9 +60,9 @@
 void RunSupervisor::stop(TimePoint now, TrackedRuns::Runs::iterator position, RunOutbox &out)
 {
     if (position->second.state == RunState::Waiting)
-        returnOrder(now, position, out);
-    else
-        m_calls.requestStop(now, position->first, position->second, out);
+        return returnOrder(now, position, out);
+    position->second.releaseAt(now);
+    m_calls.requestStop(now, position->first, position->second, out);
 }
 
 void RunSupervisor::stopOthers(TimePoint now, Incarnation home, const std::set<RunKey> &kept,
@@ -78,8 +78,10 @@
 void RunSupervisor::stopAll(TimePoint now, RunOutbox &out)
 {
     returnWaiting(now, out);
-    for (auto &[key, run] : m_runs)
+    for (auto &[key, run] : m_runs) {
+        run.releaseAt(now);
         m_calls.requestStop(now, key, run, out);
+    }
 }
 
 bool RunSupervisor::startAnswered(TimePoint now, const RunKey &key, StartAnswer answer,
--- a/source/core/runsupervisor.h
+++ b/source/core/runsupervisor.h
@@ -28,6 +28,8 @@
     Duration longestWait{250'000};
     // Ends are kept this long and sent again to homes that reconnect within it.
     Duration endRetention{8'000'000};
+    // Within this time after their home was heard or has released them, runs are over.
+    Duration runsOverAfter{1'200'000};
 };
 
 class RunSupervisor
@@ -45,7 +47,7 @@
     // The run still waits: nothing of it was sent to the worker.
     void returnOrder(TimePoint now, TrackedRuns::Runs::iterator position, RunOutbox &out);
     void returnWaiting(TimePoint now, RunOutbox &out);
-    // Returns the run if it waits, and stops it otherwise.
+    // Its home has released the run: returns it if it waits, and stops it otherwise.
     void stop(TimePoint now, TrackedRuns::Runs::iterator position, RunOutbox &out);
     // Stops the runs of the home, except for those that are kept.
     void stopOthers(TimePoint now, Incarnation home, const std::set<RunKey> &kept, RunOutbox &out);
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -6,6 +6,7 @@
 
 RunTracker::RunTracker(RunTrackerSettings settings)
     : m_supervisor(settings)
+    , m_leaseLimit(settings.runsOverAfter)
 { }
 
 void RunTracker::workerAnnounced(TimePoint now, const WorkerProfile &profile, RunOutbox &out)
@@ -105,9 +106,10 @@
     m_supervisor.stopAnswered(now, key, answered, out);
 }
 
-void RunTracker::homeUp(Incarnation home)
+void RunTracker::homeUp(TimePoint now, Incarnation home)
 {
     m_reports.homeUp(home);
+    m_leaseLimit.homeUp(now, home);
 }
 
 void RunTracker::retireHome(TimePoint now, Incarnation home, bool retired, RunOutbox &out)
@@ -215,6 +217,7 @@
 void RunTracker::homeSilent(TimePoint now, Incarnation home, RunOutbox &out)
 {
     m_reports.homeGone(home);
+    m_leaseLimit.giveUp(home, m_supervisor.runs());
     m_supervisor.stopOthers(now, home, {}, out);
     startWaiting(now, out);
     reportRooms(now, out);
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -12,6 +12,7 @@
 
 #include "base/messages.h"
 #include "core/capacityreporter.h"
+#include "core/leaselimit.h"
 #include "core/runoutbox.h"
 #include "core/runsupervisor.h"
 #include "core/workercalls.h"
@@ -49,7 +50,9 @@
 
     // Orders of the home are accepted from now on, until homeSilent() is called for it: after that
     // nobody would stop their runs.
-    void homeUp(Incarnation home);
+    void homeUp(TimePoint now, Incarnation home);
+    // A message of the home has arrived, after the stops that it repeats on a new link.
+    void homeHeard(TimePoint now, Incarnation home) { m_leaseLimit.heard(now, home); }
     // A retired home keeps its runs, but no order of it is accepted any more. Its link is closed
     // when the runs have ended.
     void retireHome(TimePoint now, Incarnation home, bool retired, RunOutbox &out);
@@ -86,6 +89,8 @@
     // started. The lease covers all that runs there: renewing it would keep those runs alive, for a
     // full lease after the death of this agent, when their home no longer expects them to run.
     bool mayRenewLease() const { return m_mayRenewLease; }
+    // A lease must not last longer. Nothing if no run limits it.
+    std::optional<TimePoint> leaseLimit() const { return m_leaseLimit.of(tracked()); }
     const RunTrackerStatistics &statistics() const { return m_supervisor.statistics(); }
     // Capacity that neither started runs nor waiting orders take; for metrics and tests.
     ResourceNeed freeRoom() const;
@@ -121,6 +126,7 @@
     bool m_mayRenewLease = false;
     RunSupervisor m_supervisor;
     CapacityReporter m_reports;
+    LeaseLimit m_leaseLimit;
 };
 
 } // namespace Bluebellquay
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -11,6 +11,7 @@
 #include "core/trackerlog.h"
 #include "core/workercalls.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -61,6 +62,8 @@
     // When the worker confirmed a stop. A listing that was requested later and lacks the run proves
     // its end.
     std::optional<TimePoint> stopConfirmed;
+    // When the home released it, or was heard last before it was given up.
+    std::optional<TimePoint> released;
     // Kept until the worker has confirmed the run, so that the start can be repeated.
     std::string payload;
 
@@ -75,6 +78,8 @@
     void confirm(TimePoint now);
     // The worker has accepted a start.
     void accept(TimePoint now);
+    // The home no longer counts it since then, at the earliest.
+    void releaseAt(TimePoint at) { released = std::min(released.value_or(at), at); }
     // A listing that was asked for then contains it.
     void list(TimePoint askedAt) { listed = listed || askedAt >= accepted; }
     // How the run has ended if its worker is gone. One that the worker has not confirmed may have
@@ -93,6 +98,8 @@
 
     Runs::iterator begin() { return m_runs.begin(); }
     Runs::iterator end() { return m_runs.end(); }
+    Runs::const_iterator begin() const { return m_runs.begin(); }
+    Runs::const_iterator end() const { return m_runs.end(); }
     Runs::iterator find(const RunKey &key) { return m_runs.find(key); }
     bool contains(const RunKey &key) const { return m_runs.contains(key); }
     // Whether it is known, and was ordered by this home.
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -435,7 +435,7 @@
     m_agents[agent]->evacuations->peerUp(m_entries[entry]->incarnation);
     m_entries[entry]->evacuations->peerUp(m_agents[agent]->incarnation);
     driveAgent(agent, [&](RunTracker &tracker, RunOutbox &) {
-        tracker.homeUp(m_entries[entry]->incarnation);
+        tracker.homeUp(m_clock.now(), m_entries[entry]->incarnation);
     });
     ProcessInfo info;
     info.incarnation = m_agents[agent]->incarnation;
--- a/tests/dispatch/runledgertest.cpp
+++ b/tests/dispatch/runledgertest.cpp
@@ -23,7 +23,7 @@
         profile.identity = {"i-1", 1000};
         profile.service = "archive";
         profile.room = {64'000, 128'000'000'000ULL, 0};
-        ledger.homeUp(Home);
+        ledger.homeUp(now, Home);
         ledger.workerAnnounced(now, profile, out);
         account({}, {});
         clear();
@@ -681,7 +681,7 @@
 TEST_CASE_METHOD(LedgerFixture, "a running row that can't be read may be a run of an earlier agent")
 {
     RunTracker started{RunTrackerSettings()};
-    started.homeUp(Home);
+    started.homeUp(now, Home);
     started.workerAnnounced(now, profile, out);
     started.listingReceived(now, {profile.identity, now, {}, {}, 1, 1}, out);
     CHECK_FALSE(started.mayRenewLease());
@@ -730,7 +730,7 @@
 TEST_CASE_METHOD(LedgerFixture, "an order under the number of another home's run is returned")
 {
     const bool over = GENERATE(false, true);
-    ledger.homeUp(OtherHome);
+    ledger.homeUp(now, OtherHome);
     run(0, 20'000);
     if (over)
         account({}, {{key(0), RunResult::Done}});
@@ -756,7 +756,7 @@
 // moment.
 TEST_CASE_METHOD(LedgerFixture, "a task is not started while another run of it is on the worker")
 {
-    ledger.homeUp(OtherHome);
+    ledger.homeUp(now, OtherHome);
     run(0, 20'000);
     clear();
     order(0, 20'000, 2, false, OtherHome);
@@ -787,7 +787,7 @@
     CHECK(out.starts.empty());
     CHECK(ledger.runs() == 0);
     CHECK(onlyEnd().end == RunResult::NotStarted);
-    ledger.homeUp(Home);
+    ledger.homeUp(now, Home);
     order(0, 20'000);
     CHECK(out.starts.size() == 1);
 }
--- a/tests/platform/workerclienttest.cpp
+++ b/tests/platform/workerclienttest.cpp
@@ -41,8 +41,8 @@
         : client(context, timers, bounds, token,
                  {[this](const RunKey &, StartAnswer said) { startAnswer = said; },
                   [](const RunKey &, bool) {}, [this](const RunListing &) { ++listings; },
-                  [] { return true; }, [this] { ++leasesExpired; }, [this] { refused = true; },
-                  [] {}})
+                  [] { return true; }, [this] { return leaseLimit; }, [this] { ++leasesExpired; },
+                  [this] { refused = true; }, [] {}})
         , m_answer(std::move(answer))
     {
         HttpServerSettings settings;
@@ -89,6 +89,7 @@
     int listings = 0;
     int leasesExpired = 0;
     bool refused = false;
+    std::optional<TimePoint> leaseLimit;
     std::optional<StartAnswer> startAnswer;
     WorkerClient client;
 
@@ -140,7 +141,7 @@
         WorkerClient client(m_context, m_timers, bounds, 1,
                             {[](const RunKey &, StartAnswer) {}, [](const RunKey &, bool) {},
                              [&](const RunListing &) { accounted = true; }, [] { return true; },
-                             [] {}, [&] { gone = true; }, [] {}});
+                             [] { return std::nullopt; }, [] {}, [&] { gone = true; }, [] {}});
         client.follow({"i-1", 7}, m_acceptor.local_endpoint());
         for (const TimePoint end = m_timers.now() + span; !gone && m_timers.now() < end;) {
             if (std::exchange(accounted, false))
@@ -341,3 +342,34 @@
     CHECK(worker.until([&] { return worker.leasesExpired > 0; }));
     CHECK(worker.client.leasesOver());
 }
+
+// Guards against two overlapping runs of a task: an agent that freezes after a renewal can't stop
+// the runs of a silent home before their job is submitted again.
+TEST_CASE("a lease ends at its limit, and after that none is asked for")
+{
+    ScriptedWorker *self = nullptr;
+    int beforeLimit = 0;
+    int tooLong = 0;
+    ScriptedWorker worker([&](const std::string &, const nlohmann::json &call) {
+        const auto reading = [](TimePoint at) {
+            return static_cast<std::uint64_t>(at.time_since_epoch() / 1ms);
+        };
+        if (call.contains("deadlineMs")) {
+            ++beforeLimit;
+            const auto deadline = call["deadlineMs"].get<std::uint64_t>();
+            tooLong += deadline > reading(*self->leaseLimit) ? 1 : 0;
+        }
+        const nlohmann::json said{{"clockMs", reading(self->timers.now())},
+                                  {"running", nlohmann::json::array()},
+                                  {"ended", nlohmann::json::array()},
+                                  {"born", 7}};
+        return HttpResponse{200, said.dump(), {}};
+    });
+    self = &worker;
+    worker.leaseLimit = worker.timers.now() + 500ms;
+    worker.follow();
+    worker.pass(600ms);
+    CHECK(beforeLimit > 0);
+    CHECK(worker.start() == StartAnswer::NotSent);
+    CHECK(tooLong == 0);
+}
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -9,26 +9,15 @@
 
 namespace {
 
-constexpr Duration Resubmission{1'300'000};
 // Callers wait for one answer, or for several and submit again.
 constexpr Duration CallerPatience{3'500'000};
 constexpr Duration ShortPatience{1'500'000};
 constexpr Duration LongestEffort{4'500'000};
-// An entry answers 504 at the deadline that the caller has told; the caller still reads it.
-constexpr Duration AnswerSlack{200'000};
 constexpr Duration ReadyTimeout{15'000'000};
 constexpr Duration SettleTime{6'000'000};
 // The users' bound from the acknowledged evacuation to the last start.
 constexpr Duration EvacuationBound{5'000'000};
 
-std::string keyText(std::uint64_t seed, std::size_t number)
-{
-    char text[17];
-    std::snprintf(text, sizeof text, "%08x%08x", static_cast<unsigned>(seed),
-                  static_cast<unsigned>(number));
-    return text;
-}
-
 } // namespace
 
 PlatformSoak::PlatformSoak(SoakSettings settings)
@@ -36,12 +25,8 @@
     , m_random(m_settings.seed)
     , m_site(m_settings.folder, m_settings.seed, m_settings.entries, m_settings.agents)
     , m_faults(m_site, m_settings.faults, m_settings.seed, m_settings.faultGap)
-{
-    for (const auto &entry : m_site.entries()) {
-        m_clients.push_back(std::make_unique<HttpClient>(m_site.context(), m_site.timers(),
-                                                         SoakSite::loopback(entry->otherPort)));
-    }
-}
+    , m_callers(m_site, m_settings.seed)
+{ }
 
 PlatformSoak::~PlatformSoak() = default;
 
@@ -125,35 +110,15 @@
 
 void PlatformSoak::waitReady()
 {
-    const TimePoint latest = m_site.timers().now() + ReadyTimeout;
-    for (std::size_t entry = 0; entry < m_site.entries().size(); ++entry) {
-        bool served = false;
-        while (!served && m_site.timers().now() < latest) {
-            HttpCall call{
-                "POST",
-                "/x/" + keyText(~m_settings.seed, m_report.jobs++),
-                R"({"bestEffort":true,"spec":"100 1 ok","steps":[{"count":1,"cpu":100}]})",
-                {{"Host", "a.example"}},
-                std::chrono::seconds(2)};
-            bool ended = false;
-            m_clients[entry]->call(std::move(call), [&](const HttpReply &reply) {
-                served = reply.answered(200);
-                ended = true;
-            });
-            while (!ended)
-                m_site.pass(std::chrono::milliseconds(5));
-            if (!served)
-                m_site.pass(std::chrono::milliseconds(100));
-        }
-        if (!served)
-            m_report.violations.push_back("does not serve: " + m_site.entries()[entry]->name);
-    }
+    for (const std::string &entry : m_callers.waitUntilServing())
+        m_report.violations.push_back("does not serve: " + entry);
 }
 
 std::shared_ptr<PlatformSoak::Job> PlatformSoak::makeJob()
 {
     auto job = std::make_shared<Job>();
-    job->key = keyText(m_settings.seed, ++m_report.jobs);
+    job->key = m_callers.newKey();
+    ++m_report.jobs;
     // Tasks that run for longer than their caller waits, and are submitted again.
     const bool isLong = pick(0, 5) == 0;
     job->target = (isLong ? "/y/" : "/x/") + job->key;
@@ -195,15 +160,8 @@
         return;
     const Duration wait = std::min(job->patience, job->deadline - now);
     m_site.note("submit " + job->key + " to " + m_site.entries()[entry]->name);
-    HttpCall call{"POST",
-                  job->target,
-                  job->body,
-                  {{"Host", "a.example"},
-                   {"X-Bluebellquay-Deadline-Ms", std::to_string(wait.count() / 1000)}},
-                  wait + AnswerSlack};
-    m_clients[entry]->call(std::move(call), [this, job, entry](const HttpReply &reply) {
-        answered(job, entry, reply);
-    });
+    m_callers.submit(entry, job->target, job->body, wait,
+                     [this, job, entry](const HttpReply &reply) { answered(job, entry, reply); });
 }
 
 void PlatformSoak::answered(const std::shared_ptr<Job> &job, std::size_t entry,
--- a/tests/soak/platformsoak.h
+++ b/tests/soak/platformsoak.h
@@ -6,6 +6,7 @@
 
 #include "kernel/timerservice.h"
 #include "net/httpclient.h"
+#include "soak/soakcallers.h"
 #include "soak/soakfaults.h"
 #include "soak/soaksite.h"
 
@@ -84,7 +85,7 @@
     std::mt19937_64 m_random;
     SoakSite m_site;
     SoakFaults m_faults;
-    std::vector<std::unique_ptr<HttpClient>> m_clients;
+    SoakCallers m_callers;
     std::vector<std::shared_ptr<Job>> m_jobs;
     SoakReport m_report;
     bool m_loading = false;
--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -37,6 +37,7 @@
 {
     ++m_starts;
     ++m_startsOn[worker];
+    ++m_startsOf[task];
     m_startedJobs.insert(task.substr(0, task.find('.')));
     const std::string what = task + " run " + std::to_string(run) + " on " + worker;
     m_observer("start " + what);
@@ -64,6 +65,14 @@
         m_done.insert(task);
 }
 
+bool PlatformJudge::isRunningOn(const std::string &task, const std::string &worker) const
+{
+    const auto runs = m_running.find(task);
+    return runs != m_running.end()
+        && std::any_of(runs->second.begin(), runs->second.end(),
+                       [&](const Run &run) { return run.worker == worker; });
+}
+
 void PlatformJudge::report(const std::string &violation)
 {
     m_observer("violation " + violation);
--- a/tests/standins/platformworker.h
+++ b/tests/standins/platformworker.h
@@ -34,7 +34,13 @@
                const std::string &how);
     bool isDone(const std::string &task) const { return m_done.contains(task); }
     bool wasStarted(const std::string &job) const { return m_startedJobs.contains(job); }
+    bool isRunningOn(const std::string &task, const std::string &worker) const;
     std::size_t starts() const { return m_starts; }
+    std::size_t startsOf(const std::string &task) const
+    {
+        const auto position = m_startsOf.find(task);
+        return position == m_startsOf.end() ? 0 : position->second;
+    }
     std::size_t startsOn(const std::string &worker) const
     {
         const auto position = m_startsOn.find(worker);
@@ -61,7 +67,10 @@
     std::set<std::string> m_done;
     std::set<std::string> m_startedJobs;
     std::size_t m_starts = 0;
+    // By worker.
     std::map<std::string, std::size_t> m_startsOn;
+    // By task.
+    std::map<std::string, std::size_t> m_startsOf;
     std::vector<std::string> m_violations;
 };
 
