Take a worker's own announcements again after one with a number far ahead

What callers saw: after one heartbeat of the present life with a sequence number far ahead and no free capacity, its worker took no orders for the rest of its life: 296 of 396 jobs in 20 s were refused with 503 (users' first look; not played again here).

Cause: all later announcements of the worker itself counted as late, since their numbers are lower.

Calls that were held back arrive together, and the worker's next own number ends the comparison, so late ones still change nothing.

--- a/source/core/workersuccession.h
+++ b/source/core/workersuccession.h
@@ -6,6 +6,7 @@
 // Does no I/O: its owner calls the announced life.
 #pragma once
 
+#include "base/coretime.h"
 #include "core/workercalls.h"
 
 #include <cstdint>
@@ -33,7 +34,8 @@
 class WorkerSuccession
 {
 public:
-    AnnouncementVerdict announced(const WorkerProfile &profile, std::uint64_t sequence);
+    AnnouncementVerdict announced(TimePoint now, const WorkerProfile &profile,
+                                  std::uint64_t sequence);
     // The announced life has answered as announced. Returns whether it is the present one now.
     bool answered(const WorkerProfile &profile, std::uint64_t sequence,
                   const PresentLifeState &state);
@@ -56,9 +58,21 @@
         std::uint64_t sequence = 0;
     };
 
-    AnnouncementVerdict update(const WorkerProfile &profile, std::uint64_t sequence);
+    AnnouncementVerdict update(TimePoint now, const WorkerProfile &profile, std::uint64_t sequence);
+    // Whether an announcement with a lower number than the latest one shows that the latest came
+    // from another writer.
+    bool exposesLatest(TimePoint now, std::uint64_t sequence);
+
+    // An announcement that counts as late.
+    struct LateAnnouncement
+    {
+        TimePoint at;
+        std::uint64_t sequence = 0;
+    };
 
     std::optional<Life> m_present;
+    // Arrived after the latest announcement of the present life.
+    std::optional<LateAnnouncement> m_late;
     // The announcement before this one, if it contradicted the present life: if the next one says
     // the same, it was the earlier ones that another writer has sent.
     std::optional<WorkerProfile> m_contradiction;
--- a/tests/dispatch/workersuccessiontest.cpp
+++ b/tests/dispatch/workersuccessiontest.cpp
@@ -4,7 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+
 using namespace Bluebellquay;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -27,6 +30,7 @@
     SuccessionFixture() { REQUIRE(succession.answered(present, 4, {})); }
 
     const WorkerProfile present = profileOf("i-1", Born);
+    TimePoint now{1s};
     WorkerSuccession succession;
 };
 
@@ -36,16 +40,17 @@
 {
     for (const WorkerProfile &other :
          {profileOf("i-1", 2'000'000'000'000), profileOf("i-1", Born - 1), profileOf("i-2", Born)})
-        CHECK(succession.announced(other, 90) == AnnouncementVerdict::Probe);
-    CHECK(succession.announced(present, 5) == AnnouncementVerdict::Update);
-    CHECK(succession.announced(present, 4) == AnnouncementVerdict::Late);
+        CHECK(succession.announced(now, other, 90) == AnnouncementVerdict::Probe);
+    CHECK(succession.announced(now, present, 5) == AnnouncementVerdict::Update);
+    CHECK(succession.announced(now, present, 4) == AnnouncementVerdict::Late);
     CHECK(succession.present()->identity == present.identity);
 }
 
 TEST_CASE("the first announced life is not present before it answers")
 {
     WorkerSuccession succession;
-    CHECK(succession.announced(profileOf("i-1", Born), 1) == AnnouncementVerdict::Probe);
+    CHECK(succession.announced(TimePoint(1s), profileOf("i-1", Born), 1)
+          == AnnouncementVerdict::Probe);
     CHECK(succession.present() == nullptr);
 }
 
@@ -76,9 +81,33 @@
 {
     WorkerProfile odd = present;
     odd.service = "another";
-    CHECK(succession.announced(odd, 1'000'000) == AnnouncementVerdict::Contradicts);
+    CHECK(succession.announced(now, odd, 1'000'000) == AnnouncementVerdict::Contradicts);
     // A sequence number that is not the worker's own makes none of its announcements late.
-    CHECK(succession.announced(present, 5) == AnnouncementVerdict::Update);
-    CHECK(succession.announced(odd, 1'000'000) == AnnouncementVerdict::Contradicts);
-    CHECK(succession.announced(odd, 1'000'001) == AnnouncementVerdict::Probe);
+    CHECK(succession.announced(now, present, 5) == AnnouncementVerdict::Update);
+    CHECK(succession.announced(now, odd, 1'000'000) == AnnouncementVerdict::Contradicts);
+    CHECK(succession.announced(now, odd, 1'000'001) == AnnouncementVerdict::Probe);
+}
+
+// Guards against a worker that takes no orders any more: all its own announcements counted as late
+// after another writer's with a number far ahead.
+TEST_CASE_METHOD(SuccessionFixture, "a number far ahead makes one announcement of the worker late")
+{
+    WorkerProfile odd = present;
+    odd.draining = true;
+    CHECK(succession.announced(now, odd, 1'000'000'000) == AnnouncementVerdict::Update);
+    CHECK(succession.announced(now + 1s, present, 5) == AnnouncementVerdict::Late);
+    CHECK(succession.announced(now + 2s, present, 6) == AnnouncementVerdict::Update);
+    CHECK_FALSE(succession.present()->draining);
+}
+
+TEST_CASE_METHOD(SuccessionFixture, "announcements that were held back together count as late")
+{
+    WorkerProfile draining = present;
+    draining.draining = true;
+    CHECK(succession.announced(now, draining, 9) == AnnouncementVerdict::Update);
+    CHECK(succession.announced(now, present, 6) == AnnouncementVerdict::Late);
+    CHECK(succession.announced(now, present, 7) == AnnouncementVerdict::Late);
+    CHECK(succession.announced(now + 1s, draining, 10) == AnnouncementVerdict::Update);
+    CHECK(succession.announced(now + 2s, present, 8) == AnnouncementVerdict::Late);
+    CHECK(succession.present()->draining);
 }
