--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -368,12 +368,12 @@
 {
     for (std::size_t index = 0; index < m_agents.size(); ++index) {
         const Agent &agent = *m_agents[index];
-        if (agent.incarnation != to || !agent.up || !m_links.contains({entry, index}))
+        if (agent.incarnation != to || !agent.up || !passes(entry, index))
             continue;
         m_clock.at(m_clock.now() + LinkLatency,
                    [this, entry, index, to, from = m_entries[entry]->incarnation,
                     link = linkNumber(entry, index), message = std::move(message)] {
-                       if (m_agents[index]->incarnation != to || !m_links.contains({entry, index})
+                       if (m_agents[index]->incarnation != to || !passes(entry, index)
                            || linkNumber(entry, index) != link)
                            return;
                        if (const auto *notice = std::get_if<EvacuationNotice>(&message))
@@ -395,12 +395,12 @@
 {
     for (std::size_t index = 0; index < m_entries.size(); ++index) {
         const Entry &entry = *m_entries[index];
-        if (entry.incarnation != to || !entry.up || !m_links.contains({index, agent}))
+        if (entry.incarnation != to || !entry.up || !passes(index, agent))
             continue;
         m_clock.at(m_clock.now() + LinkLatency,
                    [this, index, agent, to, from = m_agents[agent]->incarnation,
                     link = linkNumber(index, agent), message = std::move(message)] {
-                       if (m_entries[index]->incarnation != to || !m_links.contains({index, agent})
+                       if (m_entries[index]->incarnation != to || !passes(index, agent)
                            || linkNumber(index, agent) != link)
                            return;
                        if (const auto *notice = std::get_if<EvacuationNotice>(&message))
@@ -431,6 +431,7 @@
 void KeyedSite::linkUp(std::size_t entry, std::size_t agent)
 {
     m_links.insert({entry, agent});
+    m_silentLinks.erase({entry, agent});
     ++m_linkUps[{entry, agent}];
     m_agents[agent]->evacuations->peerUp(m_entries[entry]->incarnation);
     m_entries[entry]->evacuations->peerUp(m_agents[agent]->incarnation);
@@ -451,6 +452,7 @@
 {
     if (m_links.erase({entry, agent}) == 0)
         return;
+    m_silentLinks.erase({entry, agent});
     const Incarnation home = m_entries[entry]->incarnation;
     m_agents[agent]->evacuations->peerDown(home);
     m_entries[entry]->evacuations->peerDown(m_agents[agent]->incarnation);
@@ -603,6 +605,7 @@
     // Nothing passes from now on; both sides notice it by the silence timeout.
     if (!m_links.contains({entry, agent}))
         return;
+    m_silentLinks.insert({entry, agent});
     m_clock.at(m_clock.now() + Silence, [this, entry, agent] { linkDown(entry, agent); });
     m_clock.at(until + Silence, [this, entry, agent] { relinkLater(entry, agent); });
 }
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -134,6 +134,11 @@
         const auto position = m_linkUps.find({entry, agent});
         return position != m_linkUps.end() ? position->second : 0;
     }
+    // Whether the link is up and carries messages.
+    bool passes(std::size_t entry, std::size_t agent) const
+    {
+        return m_links.contains({entry, agent}) && !m_silentLinks.contains({entry, agent});
+    }
     void linkUp(std::size_t entry, std::size_t agent);
     void linkDown(std::size_t entry, std::size_t agent);
     void relinkLater(std::size_t entry, std::size_t agent);
@@ -160,6 +165,8 @@
     std::map<std::size_t, TimePoint> m_storeCutUntil;
     // Links that are up, as pairs of entry and agent.
     std::set<std::pair<std::size_t, std::size_t>> m_links;
+    // Links that are up and carry nothing any more: neither side has noticed it yet.
+    std::set<std::pair<std::size_t, std::size_t>> m_silentLinks;
     // Number of times that the link of a pair came up.
     std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> m_linkUps;
     // Time until which the link of a pair is cut.
