--- a/review/shared-2/deployment.py
+++ b/review/shared-2/deployment.py
@@ -532,6 +532,22 @@
             "after the cancel was acknowledged" for e in late]
 
 
+def overlaps(record):
+    """Pairs of runs of one task that were on workers at the same time."""
+    spans = []
+    for start in record.of("run_started"):
+        ends = record.of("run_ended", worker=start["worker"], task=start["task"], run=start["run"])
+        spans.append((start, ends[0]["t"] if ends else record.now()))
+    found = []
+    for i, (one, one_end) in enumerate(spans):
+        for other, other_end in spans[i + 1:]:
+            shared = min(one_end, other_end) - max(one["t"], other["t"])
+            if one["task"] == other["task"] and shared > 0:
+                found.append(f"TWICE: {one['task']} ran on {one['worker']} and {other['worker']} "
+                             f"at the same time, for {shared:.0f} ms")
+    return found
+
+
 def run_case(folder, make_site, case):
     """Runs a case: `case(site, trouble)` returns a list of breaches of the rule. Exits with 1 if
     there are any, with 0 if there are none, with 2 if the case could not run."""
