--- a/review/shared-2/deployment.py
+++ b/review/shared-2/deployment.py
@@ -10,6 +10,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -34,6 +35,7 @@
 HEARTBEAT_S = 1.5
 CANCEL_MS = 3000
 CONTACT_MS = 3000
+PORTS = (15000, 32000)
 RETRANSMIT_S = 1.3
 
 
@@ -376,7 +378,7 @@
                 raise CouldNotRun("the programs of the deploy file are not built")
         self.record = Record()
         self.folder = tempfile.mkdtemp(prefix="bluebellquay-review-")
-        self.reserved = []
+        self.taken = set()
         self.store = Store()
         self.put_config(1)
         self.processes = []
@@ -385,12 +387,19 @@
         self.agents = [self.add_agent(i, cpu) for i in range(agents)]
 
     def free_port(self):
-        # Kept bound, without listening, until the site is up, so that no other gets the number.
-        taken = socket.socket()
-        taken.bind((ADDRESS, 0))
-        port = taken.getsockname()[1]
-        taken.close()
-        return port
+        # Below the ports that the system gives to outgoing connections, which could take one that
+        # is free now before its program has started.
+        while True:
+            port = random.randrange(*PORTS)
+            if port in self.taken:
+                continue
+            self.taken.add(port)
+            with socket.socket() as probe:
+                try:
+                    probe.bind((ADDRESS, port))
+                    return port
+                except OSError:
+                    pass
 
     def settings(self, name, number):
         return {"node": name, "zone": ZONES[number % len(ZONES)], "region": "kyushu",
