--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 again soon after."""
 
 import os
+import signal
 import sys
 import time
 
@@ -20,6 +21,22 @@
 SECOND_WAKE = 3.0
 
 
+def overlaps(record):
+    """Pairs of runs of one task that were on workers at the same time."""
+    spans = []
+    for start in record.of("run_started"):
+        ends = record.of("run_ended", worker=start["worker"], task=start["task"], run=start["run"])
+        spans.append((start, ends[0]["t"] if ends else record.now()))
+    found = []
+    for i, (one, one_end) in enumerate(spans):
+        for other, other_end in spans[i + 1:]:
+            shared = min(one_end, other_end) - max(one["t"], other["t"])
+            if one["task"] == other["task"] and shared > 0:
+                found.append(f"TWICE: {one['task']} ran on {one['worker']} and {other['worker']} "
+                             f"at the same time, for {shared:.0f} ms")
+    return found
+
+
 def case(site, trouble):
     home, other = site.entries
     submission = site.call_in_background("POST", home, KEY, JOB, DEADLINE_MS, "first")
@@ -29,7 +46,7 @@
     time.sleep(0.5)
     if not trouble:
         submission.join()
-        return deployment.overlaps(site.record)
+        return overlaps(site.record)
     began = time.monotonic() - FIRST_FREEZE
     steps = [(FIRST_FREEZE, agent.freeze), (0, home.kill), (FIRST_WAKE, agent.wake),
              (SECOND_FREEZE, agent.freeze)]
@@ -43,7 +60,31 @@
     time.sleep(max(0, began + SECOND_WAKE - time.monotonic()))
     agent.wake()
     again.join()
-    return deployment.overlaps(site.record)
+    return overlaps(site.record)
+
+
+def run_case():
+    """Runs a case: `case()` returns the breaches of the rule. Exits with 1 if
+    there are any, with 0 if there are none, with 2 if the case could not run."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    site, status, verdict = None, 2, ""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        site = deployment.Site(entries=2, agents=3)
+        site.wait_until_ready()
+        breaches = case(site, trouble)
+        status = 1 if breaches else 0
+        verdict = "broken: " + "; ".join(breaches) if breaches else "the rule held"
+    except deployment.CouldNotRun as reason:
+        verdict = f"could not run: {reason}"
+    finally:
+        if site is not None:
+            site.close()
+            site.record.write(os.path.join(FOLDER, "record.txt"),
+                              verdict + ("" if trouble else " (TROUBLE=0)"))
+    print(verdict)
+    sys.stdout.flush()
+    os._exit(status)
 
 
-deployment.run_case(FOLDER, lambda: deployment.Site(entries=2, agents=3), case)
+run_case()
--- a/review/shared-2/deployment.py
+++ b/review/shared-2/deployment.py
@@ -1,8 +1,8 @@
 """A small deployment on loopback: the project's entry and agent programs as processes, with the
 settings of the deploy templates, and stand-ins for the platform's store, the workers and clients.
 
-The stand-ins follow PROTOCOL.md. Everything that they see is kept with its time, in milliseconds
-since the site was made, and written to the record of the case.
+The stand-ins follow PROTOCOL.md and judge nothing. What they see is kept with its time, in
+milliseconds since the site was made; each case has its own check, and writes its record.
 """
 
 import base64
@@ -17,7 +17,6 @@
 import socket
 import struct
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -33,7 +32,6 @@
 # Bounds of the site file sites/hinokuni-archive.toml.
 BOUNDS = {"holdMaxMs": 1000, "stopMs": 50, "retransmitMs": 1300, "graceS": 6, "farX": 1.5}
 HEARTBEAT_S = 1.5
-CANCEL_MS = 3000
 CONTACT_MS = 3000
 PORTS = (15000, 32000)
 RETRANSMIT_S = 1.3
@@ -524,58 +522,3 @@
             print("logs:", self.folder)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
-
-
-def later(seconds, action):
-    timer = threading.Timer(seconds, action)
-    timer.daemon = True
-    timer.start()
-
-
-def starts_after_cancel(record, cancelled):
-    """Tasks started later than cancel_ms after the cancel was acknowledged."""
-    job, latest = cancelled["job"], cancelled["t"] + CANCEL_MS
-    late = [e for e in record.of("run_started")
-            if e["task"].startswith(job) and e["t"] > latest]
-    return [f"UNASKED: {e['task']} run {e['run']} was started {e['t'] - cancelled['t']:.0f} ms "
-            "after the cancel was acknowledged" for e in late]
-
-
-def overlaps(record):
-    """Pairs of runs of one task that were on workers at the same time."""
-    spans = []
-    for start in record.of("run_started"):
-        ends = record.of("run_ended", worker=start["worker"], task=start["task"], run=start["run"])
-        spans.append((start, ends[0]["t"] if ends else record.now()))
-    found = []
-    for i, (one, one_end) in enumerate(spans):
-        for other, other_end in spans[i + 1:]:
-            shared = min(one_end, other_end) - max(one["t"], other["t"])
-            if one["task"] == other["task"] and shared > 0:
-                found.append(f"TWICE: {one['task']} ran on {one['worker']} and {other['worker']} "
-                             f"at the same time, for {shared:.0f} ms")
-    return found
-
-
-def run_case(folder, make_site, case):
-    """Runs a case: `case(site, trouble)` returns a list of breaches of the rule. Exits with 1 if
-    there are any, with 0 if there are none, with 2 if the case could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    site, status, verdict = None, 2, ""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    try:
-        site = make_site()
-        site.wait_until_ready()
-        breaches = case(site, trouble)
-        status = 1 if breaches else 0
-        verdict = "broken: " + "; ".join(breaches) if breaches else "the rule held"
-    except CouldNotRun as reason:
-        verdict = f"could not run: {reason}"
-    finally:
-        if site is not None:
-            site.close()
-            site.record.write(os.path.join(folder, "record.txt"),
-                              verdict + ("" if trouble else " (TROUBLE=0)"))
-    print(verdict)
-    sys.stdout.flush()
-    os._exit(status)
