Tell homes that a worker is gone before the ends of its runs

Cause: an agent whose worker is replaced by its next life sent the ends of the runs first and the report that the worker isn't settled after them. A home counts a crash for the runs that it still counts on the worker when it hears the report, so it counted none.

Why the fix works: the report goes out first; a link keeps the order. The home heard of the crash before, too, only later.

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -280,6 +280,8 @@
     m_listingReceived = false;
     m_silent = false;
     m_mayRenewLease = false;
+    // A home counts the crash for the runs that it still counts on the worker.
+    reportRooms(now, out);
     m_supervisor.workerReplaced(now, out);
 }
 
--- a/tests/dispatch/runtrackertest.cpp
+++ b/tests/dispatch/runtrackertest.cpp
@@ -545,3 +545,18 @@
     list({}, {{key(0), RunResult::Done}});
     CHECK(onlyEnd().end == RunResult::Done);
 }
+
+// Guards against a task that is never given up though it crashes one worker after the other: a home
+// counts a crash by the runs that it knows on the worker when it hears of it.
+TEST_CASE_METHOD(TrackerFixture, "homes hear that a worker is gone before they hear of its runs")
+{
+    run(0, 40'000);
+    list({key(0)}, {});
+    replaceWorker();
+    REQUIRE(ends().size() == 1);
+    CHECK(ends().front().end == RunResult::Lost);
+    const auto *room = std::get_if<WorkerRoom>(&out.messages.front().second);
+    REQUIRE(room != nullptr);
+    CHECK_FALSE(room->settled);
+    CHECK_FALSE(room->accepting);
+}
