Count contact to a home from the ping that it has answered

An entry is killed while the agent beside the run stands still for 0.45 s; the agent wakes, and stands still again within 250 ms.

Cause: the limit of the lease counted a home's last message from when the agent read it. What a home had sent before its death, and what lay unread during the pause, made it look alive at the waking, so the lease outlasted the caller's repeat.

Why the fix works: agents ping their homes every 150 ms. Whoever answers was alive after the ping was sent, by the agent's clock, however late the answer is read; contact is that time, and the limit counts from there. A released run keeps the contact of its release. A home whose contact is 950 ms old is out of touch: its runs are stopped and its orders returned, so that one slow link doesn't shorten the leases of all others on the worker.

Tests changed: the limit is tested with contacts in place of messages, with the same times. Its test of a home that was given up now releases the run, as the tracker does. In the site of the schedules agents ping as the process does.

--- a/source/core/capacityreporter.cpp
+++ b/source/core/capacityreporter.cpp
@@ -29,6 +29,13 @@
     return position != m_homes.end() && position->second.retired;
 }
 
+void CapacityReporter::setInTouch(Incarnation home, bool inTouch)
+{
+    const auto position = m_homes.find(home);
+    if (position != m_homes.end())
+        position->second.inTouch = inTouch;
+}
+
 void CapacityReporter::homesChanged()
 {
     for (auto &[incarnation, home] : m_homes)
--- a/source/core/capacityreporter.h
+++ b/source/core/capacityreporter.h
@@ -34,6 +34,8 @@
     // Reports to a retired home say that the worker accepts no orders.
     void retire(Incarnation home, bool retired);
     bool retired(Incarnation home) const;
+    // The same for a home that is out of touch.
+    void setInTouch(Incarnation home, bool inTouch);
     void orderReceived(Incarnation home, OrderNumber order);
 
     // The capacity may have changed, or an order was received: sends reports to the homes that are
@@ -55,6 +57,7 @@
         // A change has not been reported to the home yet.
         bool outdated = false;
         bool retired = false;
+        bool inTouch = true;
         // Values in the latest report to the home.
         bool toldAccepting = false;
         bool toldProbation = false;
@@ -68,7 +71,7 @@
               Messages &messages);
     static bool accepting(const Home &home, const WorkerRoom &room)
     {
-        return room.accepting && !home.retired;
+        return room.accepting && !home.retired && home.inTouch;
     }
 
     std::map<Incarnation, Home> m_homes;
--- a/source/core/runsupervisor.cpp
+++ b/source/core/runsupervisor.cpp
@@ -61,7 +61,7 @@
 {
     if (position->second.state == RunState::Waiting)
         return returnOrder(now, position, out);
-    position->second.releaseAt(now);
+    release(now, position->second);
     m_calls.requestStop(now, position->first, position->second, out);
 }
 
@@ -79,11 +79,16 @@
 {
     returnWaiting(now, out);
     for (auto &[key, run] : m_runs) {
-        run.releaseAt(now);
+        release(now, run);
         m_calls.requestStop(now, key, run, out);
     }
 }
 
+void RunSupervisor::release(TimePoint now, TrackedRun &run)
+{
+    run.releaseAt(m_contacts.latest(run.home).value_or(now));
+}
+
 bool RunSupervisor::startAnswered(TimePoint now, const RunKey &key, StartAnswer answer,
                                   RunOutbox &out)
 {
--- a/source/core/runsupervisor.h
+++ b/source/core/runsupervisor.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/endevidence.h"
+#include "core/homecontacts.h"
 #include "core/retainedends.h"
 #include "core/runcalls.h"
 #include "core/runoutbox.h"
@@ -28,15 +29,21 @@
     Duration longestWait{250'000};
     // Ends are kept this long and sent again to homes that reconnect within it.
     Duration endRetention{8'000'000};
-    // Within this time after their home was heard or has released them, runs are over.
+    // Within this time after the latest contact to their home, or after the home has released them,
+    // runs are over.
     Duration runsOverAfter{1'200'000};
+    // A home without contact for this long gets no more work done: its runs are stopped before they
+    // shorten the lease of all others on the worker.
+    Duration homeInTouchFor{950'000};
 };
 
 class RunSupervisor
 {
 public:
-    explicit RunSupervisor(RunTrackerSettings settings)
+    // Contacts must outlive this object.
+    RunSupervisor(RunTrackerSettings settings, const HomeContacts &contacts)
         : m_settings(settings)
+        , m_contacts(contacts)
     { }
 
     // Adds a run that waits for capacity.
@@ -101,7 +108,12 @@
     void suspended(TimePoint now, std::string_view reason, RunOutbox &out);
     void scheduleCheck(TimePoint at) { m_timers.schedule(at, Timer{TimerKind::Check, {}}); }
 
+    // The run's home no longer counts it, since the latest contact at the earliest: the word of it
+    // may have been read late.
+    void release(TimePoint now, TrackedRun &run);
+
     RunTrackerSettings m_settings;
+    const HomeContacts &m_contacts;
     RunTrackerStatistics m_statistics;
     std::string m_workerName;
     // When the latest listing was requested.
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -5,8 +5,9 @@
 namespace Bluebellquay {
 
 RunTracker::RunTracker(RunTrackerSettings settings)
-    : m_supervisor(settings)
-    , m_leaseLimit(settings.runsOverAfter)
+    : m_contacts(settings.homeInTouchFor)
+    , m_supervisor(settings, m_contacts)
+    , m_leaseLimit(settings.runsOverAfter, m_contacts)
 { }
 
 void RunTracker::workerAnnounced(TimePoint now, const WorkerProfile &profile, RunOutbox &out)
@@ -109,7 +110,28 @@
 void RunTracker::homeUp(TimePoint now, Incarnation home)
 {
     m_reports.homeUp(home);
-    m_leaseLimit.homeUp(now, home);
+    m_contacts.homeUp(home);
+    m_reports.setInTouch(home, m_contacts.inTouch(now, home));
+}
+
+void RunTracker::homeAlive(TimePoint now, Incarnation home, TimePoint at, RunOutbox &out)
+{
+    if (!m_contacts.alive(now, home, at))
+        return;
+    m_reports.setInTouch(home, true);
+    reportRooms(now, out);
+}
+
+bool RunTracker::loseHomes(TimePoint now, RunOutbox &out)
+{
+    const std::vector<Incarnation> lost = m_contacts.expire(now);
+    for (const Incarnation home : lost) {
+        ++m_supervisor.statistics().homesOutOfTouch;
+        logHomeOutOfTouch(home, now - *m_contacts.latest(home), m_supervisor.runs().countOf(home));
+        m_reports.setInTouch(home, false);
+        m_supervisor.stopOthers(now, home, {}, out);
+    }
+    return !lost.empty();
 }
 
 void RunTracker::retireHome(TimePoint now, Incarnation home, bool retired, RunOutbox &out)
@@ -122,6 +144,7 @@
 {
     if (!m_reports.knows(home))
         return refuseOrders(home, message, out);
+    loseHomes(now, out);
     for (const RunOrder &order : message.orders) {
         m_reports.orderReceived(home, order.order);
         const RunKey key{message.job, message.step, order.index, order.run};
@@ -133,7 +156,7 @@
         m_supervisor.statistics().ordersEvacuated += m_evacuated ? 1 : 0;
         m_supervisor.addWaiting(now, home, message, order);
     }
-    if (m_reports.retired(home))
+    if (m_reports.retired(home) || !m_contacts.inTouch(now, home))
         returnOrders(now, home, message, false, out);
     startWaiting(now, out);
     if (!accepting(now))
@@ -217,8 +240,8 @@
 void RunTracker::homeSilent(TimePoint now, Incarnation home, RunOutbox &out)
 {
     m_reports.homeGone(home);
-    m_leaseLimit.giveUp(home, m_supervisor.runs());
     m_supervisor.stopOthers(now, home, {}, out);
+    m_contacts.homeGone(home);
     startWaiting(now, out);
     reportRooms(now, out);
 }
@@ -249,7 +272,8 @@
 void RunTracker::advance(TimePoint now, RunOutbox &out)
 {
     const bool exceeded = m_worker && tracked().exceed(m_worker->room);
-    if (!m_supervisor.advance(now, exceeded, out))
+    const bool lost = loseHomes(now, out);
+    if (!m_supervisor.advance(now, exceeded, out) && !lost)
         return m_reports.tellDue(now, describeRoom(now), out.messages);
     startWaiting(now, out);
     reportRooms(now, out);
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -12,6 +12,7 @@
 
 #include "base/messages.h"
 #include "core/capacityreporter.h"
+#include "core/homecontacts.h"
 #include "core/leaselimit.h"
 #include "core/runoutbox.h"
 #include "core/runsupervisor.h"
@@ -27,6 +28,8 @@
 {
 public:
     explicit RunTracker(RunTrackerSettings settings);
+    RunTracker(const RunTracker &) = delete;
+    RunTracker &operator=(const RunTracker &) = delete;
 
     // The worker has announced itself, for the first time or again. With another identity than
     // before it must have answered in the place of the previous life: everything that ran there is
@@ -48,11 +51,16 @@
     void startAnswered(TimePoint now, const RunKey &key, StartAnswer answer, RunOutbox &out);
     void stopAnswered(TimePoint now, const RunKey &key, bool answered, RunOutbox &out);
 
-    // Orders of the home are accepted from now on, until homeSilent() is called for it: after that
-    // nobody would stop their runs.
+    // Orders of the home are accepted while it is in touch from now on, until homeSilent() is
+    // called for it: after that nobody would stop their runs.
     void homeUp(TimePoint now, Incarnation home);
-    // A message of the home has arrived, after the stops that it repeats on a new link.
-    void homeHeard(TimePoint now, Incarnation home) { m_leaseLimit.heard(now, home); }
+    // The home was alive at this time or later, and what it had sent before was handled, with the
+    // stops that it repeats on a new link.
+    void homeAlive(TimePoint now, Incarnation home, TimePoint at, RunOutbox &out);
+    std::optional<TimePoint> latestContact(Incarnation home) const
+    {
+        return m_contacts.latest(home);
+    }
     // A retired home keeps its runs, but no order of it is accepted any more. Its link is closed
     // when the runs have ended.
     void retireHome(TimePoint now, Incarnation home, bool retired, RunOutbox &out);
@@ -81,7 +89,8 @@
     void advance(TimePoint now, RunOutbox &out);
     std::optional<TimePoint> nextWakeup() const
     {
-        return earliest(m_supervisor.nextWakeup(), m_reports.nextDue());
+        return earliest(earliest(m_supervisor.nextWakeup(), m_reports.nextDue()),
+                        m_contacts.nextExpiry());
     }
 
     bool accepting(TimePoint now) const;
@@ -98,6 +107,8 @@
 
 private:
     void startWaiting(TimePoint now, RunOutbox &out);
+    // Stops the runs of homes that have gone out of touch. Returns whether there are any.
+    bool loseHomes(TimePoint now, RunOutbox &out);
     // Returns the orders of the message that still wait. With keepPatient, those stay whose home
     // lets them wait, or whose task has another run here.
     void returnOrders(TimePoint now, Incarnation home, const StartRuns &message, bool keepPatient,
@@ -124,6 +135,7 @@
     // A listing of the present worker showed no run of an earlier incarnation of this agent that is
     // still to be ended.
     bool m_mayRenewLease = false;
+    HomeContacts m_contacts;
     RunSupervisor m_supervisor;
     CapacityReporter m_reports;
     LeaseLimit m_leaseLimit;
--- a/source/core/runtrackerstatistics.h
+++ b/source/core/runtrackerstatistics.h
@@ -16,6 +16,7 @@
     std::uint64_t ordersReturned = 0;
     std::uint64_t ordersEvacuated = 0;
     std::uint64_t started = 0;
+    std::uint64_t homesOutOfTouch = 0;
     std::uint64_t workerRefusals = 0;
     std::uint64_t workerSilences = 0;
     std::uint64_t leasesExpired = 0;
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -55,6 +55,13 @@
                        [home](const auto &item) { return item.second.home == home; });
 }
 
+std::size_t TrackedRuns::countOf(Incarnation home) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_runs.begin(), m_runs.end(),
+                      [home](const auto &item) { return item.second.home == home; }));
+}
+
 bool TrackedRuns::anotherStarted(const RunKey &key) const
 {
     auto position = m_runs.lower_bound({key.job, key.step, key.index, RunNumber()});
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -62,7 +62,7 @@
     // When the worker confirmed a stop. A listing that was requested later and lacks the run proves
     // its end.
     std::optional<TimePoint> stopConfirmed;
-    // When the home released it, or was heard last before it was given up.
+    // Latest contact to the home before the agent learned that the home no longer counts it.
     std::optional<TimePoint> released;
     // Kept until the worker has confirmed the run, so that the start can be repeated.
     std::string payload;
@@ -111,6 +111,7 @@
     bool empty() const { return m_runs.empty(); }
     std::size_t size() const { return m_runs.size(); }
     bool anyOf(Incarnation home) const;
+    std::size_t countOf(Incarnation home) const;
     // In the order in which they should start.
     const Waiting &waiting() const { return m_waiting; }
 
--- a/source/core/trackerlog.cpp
+++ b/source/core/trackerlog.cpp
@@ -32,6 +32,14 @@
         .field("youngest_ms", youngest);
 }
 
+void logHomeOutOfTouch(Incarnation home, Duration since, std::size_t runs)
+{
+    LogEvent(LogLevel::Warning, "home_out_of_touch")
+        .field("incarnation", toString(home))
+        .field("contact_ms_ago", since / OneMillisecond)
+        .field("runs", runs);
+}
+
 void logRunEnd(std::string_view worker, const EndedRun &ended, EndEvidence evidence)
 {
     LogEvent(LogLevel::Info, "run_end_inferred")
--- a/source/core/trackerlog.h
+++ b/source/core/trackerlog.h
@@ -1,6 +1,7 @@
 // Log events of the run tracker.
 #pragma once
 
+#include "base/messages.h"
 #include "base/runmessages.h"
 #include "core/endevidence.h"
 #include "core/workerhealth.h"
@@ -20,6 +21,9 @@
 void logWorkerUnavailable(TimePoint now, std::string_view worker, std::string_view reason,
                           std::vector<StartedRun> runs);
 
+// A home has shown no sign of life for this long; its runs are stopped.
+void logHomeOutOfTouch(Incarnation home, Duration since, std::size_t runs);
+
 // A started run has ended by other evidence than a listed end.
 void logRunEnd(std::string_view worker, const EndedRun &ended, EndEvidence evidence);
 
--- a/source/net/heartbeatplan.h
+++ b/source/net/heartbeatplan.h
@@ -1,4 +1,4 @@
-// When a link sends a heartbeat or measures its round trip. Answers to the load of many links that
+// When a link sends a heartbeat or a ping. Answers to the load of many links that
 // carry messages anyway: a heartbeat beside them tells the peer nothing but what it carries itself.
 #pragma once
 
@@ -9,14 +9,13 @@
 class HeartbeatPlan
 {
 public:
-    // Between two measurements of the round trip: a ping costs both sides a frame.
-    static constexpr Duration PingInterval{5'000'000};
-
     // While other frames are sent, heartbeats are left out until the last one is longestGap old; a
-    // gap up to the interval leaves none out.
-    HeartbeatPlan(Duration interval, Duration longestGap)
+    // gap up to the interval leaves none out. Pings are sent at their own interval, but at most
+    // once for each interval of heartbeats.
+    HeartbeatPlan(Duration interval, Duration longestGap, Duration pingInterval)
         : m_interval(interval)
         , m_longestGap(longestGap)
+        , m_pingInterval(pingInterval)
     { }
 
     // Called once for each interval; true if a heartbeat is to be sent now.
@@ -30,10 +29,13 @@
         return true;
     }
 
-    // Called once for each interval; true if the round trip is to be measured now.
+    // Called when the link is up, and then once for each interval; true if a ping is to be sent
+    // now.
     bool pingDue(TimePoint now)
     {
-        if (m_pinged && now - m_lastPing < PingInterval)
+        // Timers jitter: a comparison of times would leave out every second ping.
+        const bool withEachHeartbeat = m_pingInterval <= m_interval;
+        if (m_pinged && !withEachHeartbeat && now - m_lastPing < m_pingInterval)
             return false;
         m_pinged = true;
         m_lastPing = now;
@@ -43,6 +45,7 @@
 private:
     Duration m_interval;
     Duration m_longestGap;
+    Duration m_pingInterval;
     bool m_sent = false;
     TimePoint m_lastHeartbeat{};
     bool m_pinged = false;
--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -24,8 +24,9 @@
     , m_context(context)
     , m_connection(std::move(connection))
     , m_dialedAddress(std::move(dialedAddress))
+    , m_openedAt(context.timers.now())
     , m_state(boost::ref(static_cast<LinkActions &>(*this)))
-    , m_lastReceived(context.timers.now())
+    , m_lastReceived(m_openedAt)
     , m_suspendedBefore(suspendedTime())
 { }
 
@@ -233,7 +234,9 @@
 
 void PeerLink::startHeartbeats()
 {
-    m_heartbeatPlan.emplace(timing().heartbeatInterval, timing().longestHeartbeatGap);
+    m_heartbeatPlan.emplace(timing().heartbeatInterval, timing().longestHeartbeatGap,
+                            timing().pingInterval);
+    pingIfDue(m_context.timers.now());
     m_heartbeats = m_context.timers.every(
         timing().heartbeatInterval, [weak = weak_from_this()](TimePoint now) {
             const auto self = weak.lock();
@@ -241,19 +244,29 @@
                 return;
             if (self->m_heartbeatPlan->heartbeatDue(now, self->m_lastFrameSent))
                 self->sendHeartbeat();
-            if (self->m_heartbeatPlan->pingDue(now))
-                self->m_connection->ping(std::to_string(now.time_since_epoch().count()));
+            self->pingIfDue(now);
         });
 }
 
+void PeerLink::pingIfDue(TimePoint now)
+{
+    if (m_heartbeatPlan->pingDue(now))
+        m_connection->ping(std::to_string(now.time_since_epoch().count()));
+}
+
 void PeerLink::onPong(std::string_view payload)
 {
     Duration::rep sent = 0;
     const auto [end, error] =
         std::from_chars(payload.data(), payload.data() + payload.size(), sent);
-    const Duration::rep now = m_context.timers.now().time_since_epoch().count();
-    if (error == std::errc() && end == payload.data() + payload.size() && sent >= 0 && sent <= now)
-        m_context.metrics.roundTrip(std::chrono::duration<double>(Duration(now - sent)).count());
+    const TimePoint now = m_context.timers.now();
+    const TimePoint sentAt{Duration(sent)};
+    const bool whole = error == std::errc() && end == payload.data() + payload.size();
+    // Pings are sent from the introduction on.
+    if (m_ended || !m_peer || !whole || sentAt < m_openedAt || sentAt > now)
+        return;
+    m_context.metrics.roundTrip(std::chrono::duration<double>(now - sentAt).count());
+    m_owner.pingAnswered(*this, sentAt);
 }
 
 const LinkTiming &PeerLink::timing() const
--- a/source/net/peerlink.h
+++ b/source/net/peerlink.h
@@ -31,6 +31,8 @@
     virtual void linkUp(PeerLink &link) = 0;
     virtual void linkEnded(PeerLink &link, LinkEnd reason) = 0;
     virtual void messageReceived(PeerLink &link, Message message) = 0;
+    // The peer has answered a ping that was sent then.
+    virtual void pingAnswered(PeerLink &link, TimePoint sentAt) = 0;
     // The link has its first pending message since its last flush(): call flush() in a later turn
     // of the event loop.
     virtual void flushWanted(PeerLink &link) = 0;
@@ -86,6 +88,8 @@
     const std::string &dialedAddress() const { return m_dialedAddress; }
     // Set once the peer has introduced itself.
     const std::optional<ProcessInfo> &peer() const { return m_peer; }
+    // When the connection was dialled or accepted. A peer introduces itself after that.
+    TimePoint openedAt() const { return m_openedAt; }
     Rank rank() const;
 
 private:
@@ -106,11 +110,13 @@
     Duration silentFor() const;
     void watchForSilence(TimePoint deadline);
     void startHeartbeats();
+    void pingIfDue(TimePoint now);
 
     PeerLinkOwner &m_owner;
     const PeerLinkContext &m_context;
     std::shared_ptr<WebSocketConnection> m_connection;
     const std::string m_dialedAddress;
+    const TimePoint m_openedAt;
     LinkState m_state;
     std::optional<ProcessInfo> m_peer;
 
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -115,6 +115,7 @@
 
 void PeerLinks::linkUp(PeerLink &link)
 {
+    const std::shared_ptr<PeerLink> guard = link.shared_from_this();
     const ProcessInfo &peer = *link.peer();
     Target *const target = targetOf(link);
     if (target != nullptr)
@@ -132,7 +133,7 @@
         target->failures = 0;
         target->delay.reset();
     }
-    const std::shared_ptr<PeerLink> replaced = std::exchange(current, link.shared_from_this());
+    const std::shared_ptr<PeerLink> replaced = std::exchange(current, guard);
     m_metrics.links(m_byPeer.size());
     LogEvent(LogLevel::Info, "link_up")
         .field("peer", peer.name)
@@ -143,6 +144,8 @@
         replaced->fail(LinkEnd::Replaced);
     if (m_handlers.up)
         m_handlers.up(peer);
+    if (m_handlers.alive)
+        m_handlers.alive(peer.incarnation, link.openedAt());
 }
 
 void PeerLinks::linkEnded(PeerLink &link, LinkEnd reason)
@@ -193,6 +196,12 @@
         m_handlers.received(link.peer()->incarnation, std::move(message));
 }
 
+void PeerLinks::pingAnswered(PeerLink &link, TimePoint sentAt)
+{
+    if (m_handlers.alive)
+        m_handlers.alive(link.peer()->incarnation, sentAt);
+}
+
 Heartbeat PeerLinks::heartbeat()
 {
     return m_handlers.heartbeat ? m_handlers.heartbeat() : Heartbeat();
--- a/source/net/peerlinks.h
+++ b/source/net/peerlinks.h
@@ -61,6 +61,7 @@
     void linkUp(PeerLink &link) override;
     void linkEnded(PeerLink &link, LinkEnd reason) override;
     void messageReceived(PeerLink &link, Message message) override;
+    void pingAnswered(PeerLink &link, TimePoint sentAt) override;
     void flushWanted(PeerLink &link) override;
     Heartbeat heartbeat() override;
 
--- a/source/net/peernode.h
+++ b/source/net/peernode.h
@@ -25,6 +25,9 @@
     Duration longestHeartbeatGap{0};
     // A link on which no whole frame has arrived for this long is abandoned.
     Duration silenceTimeout{2'000'000};
+    // A ping costs both sides a frame. Its answer measures the round trip, and shows that the peer
+    // was alive when the ping was sent (PeerHandlers::alive).
+    Duration pingInterval{5'000'000};
 };
 
 struct PeerNodeSettings
@@ -53,6 +56,10 @@
     std::function<void(Incarnation peer)> down;
     // Every message but Hello. Heartbeats are handed up, too.
     std::function<void(Incarnation from, Message message)> received;
+    // The peer was alive at this time or later, by this process's clock and however late this is
+    // read: it has answered what was sent to it then, a new link's upgrade or a ping. Called after
+    // up(), and after everything that the peer had sent on the link before its answer.
+    std::function<void(Incarnation peer, TimePoint at)> alive;
     // Supplies the heartbeat to send.
     std::function<Heartbeat()> heartbeat;
 };
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -12,6 +12,7 @@
 // Same values as in platform/processsetup.h.
 constexpr Duration Silence{600'000};
 constexpr Duration AbsenceGrace{250'000};
+constexpr Duration PingInterval{150'000};
 constexpr Duration AgentGoneAfter{2'300'000};
 constexpr Duration ResubmissionDelay{1'300'000};
 // Same values as in platform/workerclient.cpp.
@@ -200,7 +201,10 @@
     ++agent.life;
     agent.lastSeen = 0;
     agent.fencingToken = agent.incarnation.value() * FencingTokensPerIncarnation;
-    agent.tracker = std::make_unique<RunTracker>(RunTrackerSettings());
+    RunTrackerSettings settings;
+    if (!m_settings.agentsStopSilentHomes)
+        settings.homeInTouchFor = std::chrono::hours(1);
+    agent.tracker = std::make_unique<RunTracker>(settings);
     agent.evacuations = std::make_unique<EvacuationRelay>(
         [this, index](const Evacuations &evacuations) {
             driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
@@ -446,6 +450,23 @@
     driveEntry(entry, [&](RunDispatcher &dispatcher, DispatchOutbox &out) {
         dispatcher.agentUp(m_clock.now(), info, out);
     });
+    ping(entry, agent, linkNumber(entry, agent));
+}
+
+void KeyedSite::ping(std::size_t entry, std::size_t agent, std::uint64_t link)
+{
+    if (!m_links.contains({entry, agent}) || linkNumber(entry, agent) != link)
+        return;
+    const TimePoint sentAt = m_clock.now();
+    if (passes(entry, agent))
+        m_clock.at(sentAt + 2 * LinkLatency, [this, entry, agent, link, sentAt] {
+            if (!passes(entry, agent) || linkNumber(entry, agent) != link)
+                return;
+            driveAgent(agent, [&](RunTracker &tracker, RunOutbox &out) {
+                tracker.homeAlive(m_clock.now(), m_entries[entry]->incarnation, sentAt, out);
+            });
+        });
+    m_clock.at(sentAt + PingInterval, [this, entry, agent, link] { ping(entry, agent, link); });
 }
 
 void KeyedSite::linkDown(std::size_t entry, std::size_t agent)
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -141,6 +141,8 @@
     }
     void linkUp(std::size_t entry, std::size_t agent);
     void linkDown(std::size_t entry, std::size_t agent);
+    // Asks the entry for a sign of life, again and again until the link ends.
+    void ping(std::size_t entry, std::size_t agent, std::uint64_t link);
     void relinkLater(std::size_t entry, std::size_t agent);
     void submitTo(JobKey job, std::size_t entry);
     // The connection to entry `from` broke: the caller submits again at the next entry.
--- a/tests/dispatch/leaselimittest.cpp
+++ b/tests/dispatch/leaselimittest.cpp
@@ -1,11 +1,13 @@
 // Tests until when the lease of a worker may last: the runs of a home that is silent, or that has
 // released them, must be over before their job is submitted again.
 #include "core/leaselimit.h"
+#include "core/homecontacts.h"
 #include "core/trackedruns.h"
 
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <vector>
 
 using namespace Bluebellquay;
 using namespace std::chrono_literals;
@@ -15,14 +17,17 @@
 constexpr Incarnation Home{5};
 constexpr Incarnation OtherHome{6};
 constexpr Duration Span = 1200ms;
+constexpr Duration InTouchFor = 950ms;
 
 class LeaseLimitFixture
 {
 public:
     LeaseLimitFixture()
     {
-        limit.homeUp(now, Home);
-        limit.homeUp(now, OtherHome);
+        for (const Incarnation home : {Home, OtherHome}) {
+            contacts.homeUp(home);
+            contacts.alive(now, home, now);
+        }
     }
 
     // A run that has been started for the home.
@@ -42,7 +47,8 @@
     }
 
     TimePoint now{1s};
-    LeaseLimit limit{Span};
+    HomeContacts contacts{InTouchFor};
+    LeaseLimit limit{Span, contacts};
     TrackedRuns runs;
 };
 
@@ -61,9 +67,9 @@
 {
     start(Home, 1);
     start(OtherHome, 2);
-    limit.heard(now + 300ms, Home);
+    contacts.alive(now + 300ms, Home, now + 300ms);
     CHECK(limit.of(runs) == now + Span);
-    limit.heard(now + 400ms, OtherHome);
+    contacts.alive(now + 400ms, OtherHome, now + 400ms);
     CHECK(limit.of(runs) == now + 300ms + Span);
 }
 
@@ -71,14 +77,14 @@
 TEST_CASE_METHOD(LeaseLimitFixture, "a new link alone does not move the limit on")
 {
     start(Home, 1);
-    limit.homeUp(now + 900ms, Home);
+    contacts.homeUp(Home);
     CHECK(limit.of(runs) == now + Span);
 }
 
 TEST_CASE_METHOD(LeaseLimitFixture, "a home without runs does not limit the lease")
 {
     start(Home, 1);
-    limit.heard(now + 5s, Home);
+    contacts.alive(now + 5s, Home, now + 5s);
     CHECK(limit.of(runs) == now + 5s + Span);
 }
 
@@ -86,24 +92,53 @@
 TEST_CASE_METHOD(LeaseLimitFixture, "a released run limits the lease from its release on")
 {
     start(Home, 1).releaseAt(now + 100ms);
-    limit.heard(now + 2s, Home);
+    contacts.alive(now + 2s, Home, now + 2s);
     CHECK(limit.of(runs) == now + 100ms + Span);
 }
 
+// Guards against two overlapping runs: an agent that stands still reads an answer long after its
+// home has died.
 TEST_CASE_METHOD(LeaseLimitFixture,
-                 "the runs of a home that was given up are limited by its last message")
+                 "an answer that is read late moves the limit on by its question")
 {
     start(Home, 1);
-    limit.heard(now + 200ms, Home);
-    limit.giveUp(Home, runs);
-    limit.homeUp(now + 5s, Home);
-    CHECK(limit.of(runs) == now + 200ms + Span);
+    contacts.alive(now + 700ms, Home, now + 100ms);
+    CHECK(limit.of(runs) == now + 100ms + Span);
+    // Answers on two links may overtake each other.
+    contacts.alive(now + 800ms, Home, now + 50ms);
+    CHECK(limit.of(runs) == now + 100ms + Span);
 }
 
-TEST_CASE_METHOD(LeaseLimitFixture, "messages of a home that was given up change nothing")
+TEST_CASE_METHOD(LeaseLimitFixture, "contacts to a home that was given up change nothing")
 {
-    limit.giveUp(Home, runs);
-    limit.heard(now, Home);
+    contacts.homeGone(Home);
+    contacts.alive(now, Home, now);
     start(Home, 1);
     CHECK_FALSE(limit.of(runs));
 }
+
+TEST_CASE_METHOD(LeaseLimitFixture, "a home that was given up gives its runs no more time")
+{
+    start(Home, 1).releaseAt(*contacts.latest(Home));
+    contacts.homeGone(Home);
+    contacts.alive(now + 1s, Home, now + 1s);
+    CHECK(limit.of(runs) == now + Span);
+    contacts.homeUp(Home);
+    contacts.alive(now + 5s, Home, now + 5s);
+    CHECK(limit.of(runs) == now + Span);
+}
+
+TEST_CASE_METHOD(LeaseLimitFixture, "a home is in touch from its contact on, until that is too old")
+{
+    contacts.homeUp(Incarnation(7));
+    CHECK_FALSE(contacts.inTouch(now, Incarnation(7)));
+    CHECK(contacts.alive(now, Incarnation(7), now - InTouchFor / 2));
+    CHECK_FALSE(contacts.alive(now, Incarnation(7), now - InTouchFor / 2));
+    CHECK(contacts.nextExpiry() == now + InTouchFor / 2);
+    CHECK(contacts.expire(now + InTouchFor / 2 - 1us).empty());
+    CHECK(contacts.expire(now + InTouchFor / 2) == std::vector{Incarnation(7)});
+    CHECK_FALSE(contacts.inTouch(now + InTouchFor / 2, Incarnation(7)));
+    // An answer to an old question does not bring it back.
+    CHECK_FALSE(contacts.alive(now + 2 * InTouchFor, Incarnation(7), now + InTouchFor));
+    CHECK(contacts.alive(now + 2 * InTouchFor, Incarnation(7), now + 2 * InTouchFor - 1ms));
+}
--- a/tests/dispatch/runtrackerhomestest.cpp
+++ b/tests/dispatch/runtrackerhomestest.cpp
@@ -86,7 +86,7 @@
 TEST_CASE_METHOD(TrackerFixture, "an order under the number of another home's run is returned")
 {
     const bool over = GENERATE(false, true);
-    tracker.homeUp(now, OtherHome);
+    homeUp(OtherHome);
     run(0, 20'000);
     if (over)
         list({}, {{key(0), RunResult::Done}});
@@ -112,7 +112,7 @@
 // moment.
 TEST_CASE_METHOD(TrackerFixture, "a task is not started while another run of it is on the worker")
 {
-    tracker.homeUp(now, OtherHome);
+    homeUp(OtherHome);
     run(0, 20'000);
     clear();
     order(0, 20'000, 2, false, OtherHome);
@@ -143,27 +143,82 @@
     CHECK(out.starts.empty());
     CHECK(tracker.runs() == 0);
     CHECK(onlyEnd().end == RunResult::NotStarted);
-    tracker.homeUp(now, Home);
+    homeUp(Home);
     order(0, 20'000);
     CHECK(out.starts.size() == 1);
 }
 
 // Guards against two overlapping runs: neither silence of a home nor a stop that is not carried out
 // lets a lease outlast the resubmission of a job.
-TEST_CASE_METHOD(TrackerFixture, "what homes were heard of last, and their stops, limit the lease")
+TEST_CASE_METHOD(TrackerFixture, "contacts to homes, and their stops, limit the lease")
 {
     const Duration span = RunTrackerSettings().runsOverAfter;
     CHECK_FALSE(tracker.leaseLimit());
     run(0, 40'000);
-    pass(500ms);
-    tracker.homeHeard(now, Home);
-    CHECK(tracker.leaseLimit() == now + span);
-    const TimePoint stopped = now + 100ms;
-    pass(100ms);
+    passInSilence(500ms);
+    // Read late.
+    tracker.homeAlive(now, Home, now - 200ms, out);
+    const TimePoint contact = now - 200ms;
+    CHECK(tracker.leaseLimit() == contact + span);
+    passInSilence(100ms);
+    // The home may have sent it at any time after the contact.
     tracker.handle(now, Home, StopRuns{{key(0)}}, out);
-    pass(600ms);
-    tracker.homeHeard(now, Home);
-    CHECK(tracker.leaseLimit() == stopped + span);
+    passInSilence(600ms);
+    tracker.homeAlive(now, Home, now, out);
+    CHECK(tracker.leaseLimit() == contact + span);
     list({}, {{key(0), RunResult::Stopped}});
     CHECK_FALSE(tracker.leaseLimit());
 }
+
+// Guards against runs of one home that cost those of all others their lease, and against orders
+// that are carried out for a home that died while they lay unread.
+TEST_CASE_METHOD(TrackerFixture, "a home without contact has its runs stopped and gets no others")
+{
+    const Duration inTouch = RunTrackerSettings().homeInTouchFor;
+    homeUp(OtherHome);
+    run(0, 20'000);
+    order(1, 20'000, 1, true, OtherHome);
+    tracker.startAnswered(now, key(1), StartAnswer::Accepted, out);
+    const TimePoint contact = now;
+    passInSilence(inTouch - 1ms);
+    tracker.homeAlive(now, OtherHome, now, out);
+    tracker.advance(now, out);
+    clear();
+    CHECK(tracker.nextWakeup() == contact + inTouch);
+    passInSilence(1ms);
+    SECTION("at the time")
+    {
+        tracker.advance(now, out);
+    }
+    // After a pause the sockets may be read before timers.
+    SECTION("with an order that was unread")
+    {
+        order(2, 10'000);
+        CHECK(out.starts.empty());
+        CHECK(onlyEnd().end == RunResult::NotStarted);
+    }
+    REQUIRE(out.stops.size() == 1);
+    CHECK(out.stops[0].run == key(0));
+    CHECK_FALSE(lastRoom()->accepting);
+    CHECK(tracker.leaseLimit() == contact + RunTrackerSettings().runsOverAfter);
+    clear();
+    list({key(1)}, {{key(0), RunResult::Stopped}});
+    CHECK(onlyEnd().end == RunResult::Stopped);
+    clear();
+    tracker.homeAlive(now, Home, now - 10ms, out);
+    REQUIRE(lastRoom() != nullptr);
+    CHECK(lastRoom()->accepting);
+    order(3, 10'000);
+    CHECK(out.starts.size() == 1);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "a home gets no work before its first sign of life")
+{
+    tracker.homeUp(now, OtherHome);
+    order(0, 20'000, 1, true, OtherHome);
+    CHECK(out.starts.empty());
+    CHECK(onlyEnd(OtherHome).end == RunResult::NotStarted);
+    tracker.homeAlive(now, OtherHome, now - 1ms, out);
+    order(1, 20'000, 1, true, OtherHome);
+    CHECK(out.starts.size() == 1);
+}
--- a/tests/dispatch/trackerfixture.h
+++ b/tests/dispatch/trackerfixture.h
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -17,6 +18,8 @@
 constexpr Incarnation Home{5};
 constexpr Incarnation OtherHome{6};
 constexpr JobKey OnlyJob{0xabc};
+// Same value as in platform/processsetup.h.
+constexpr Duration PingInterval{150'000};
 
 class TrackerFixture
 {
@@ -26,14 +29,30 @@
         profile.identity = {"i-1", 1000};
         profile.service = "archive";
         profile.room = {64'000, 128'000'000'000ULL, 0};
-        tracker.homeUp(now, Home);
+        homeUp(Home);
         tracker.workerAnnounced(now, profile, out);
         list({}, {});
         clear();
     }
 
     void clear() { out = RunOutbox(); }
-    void pass(Duration span) { now += span; }
+    // The homes answer the agent's pings meanwhile.
+    void pass(Duration span)
+    {
+        const TimePoint end = now + span;
+        while (now < end) {
+            now = std::min(now + PingInterval, end);
+            for (const Incarnation home : {Home, OtherHome})
+                tracker.homeAlive(now, home, now, out);
+        }
+    }
+    // Nobody answers the agent's pings meanwhile.
+    void passInSilence(Duration span) { now += span; }
+    void homeUp(Incarnation home)
+    {
+        tracker.homeUp(now, home);
+        tracker.homeAlive(now, home, now, out);
+    }
     static RunKey key(std::uint32_t index, std::uint64_t run = 1)
     {
         return {OnlyJob, 0, index, RunNumber(run)};
--- a/tests/net/heartbeatplantest.cpp
+++ b/tests/net/heartbeatplantest.cpp
@@ -12,12 +12,13 @@
 namespace {
 
 constexpr Duration Interval{150'000};
+constexpr Duration PingInterval{5'000'000};
 
 } // namespace
 
 TEST_CASE("an idle link sends every heartbeat", "[net]")
 {
-    HeartbeatPlan plan(Interval, 3 * Interval);
+    HeartbeatPlan plan(Interval, 3 * Interval, PingInterval);
     TimePoint lastFrame{10s};
     for (TimePoint now = lastFrame + Interval; now < TimePoint(20s); now += Interval) {
         CHECK(plan.heartbeatDue(now, lastFrame));
@@ -27,7 +28,7 @@
 
 TEST_CASE("a busy link leaves heartbeats out, but none for longer than the gap", "[net]")
 {
-    HeartbeatPlan plan(Interval, 3 * Interval);
+    HeartbeatPlan plan(Interval, 3 * Interval, PingInterval);
     TimePoint last{10s};
     int sent = 0;
     for (TimePoint now = last; now < TimePoint(19s); now += Interval) {
@@ -42,7 +43,7 @@
 
 TEST_CASE("frames are never further apart than one and a half intervals", "[net]")
 {
-    HeartbeatPlan plan(Interval, 3 * Interval);
+    HeartbeatPlan plan(Interval, 3 * Interval, PingInterval);
     TimePoint lastFrame{10s};
     for (TimePoint now = lastFrame; now < TimePoint(20s); now += Interval) {
         // A message shortly before each second heartbeat.
@@ -57,17 +58,28 @@
 
 TEST_CASE("without a gap no heartbeat is left out", "[net]")
 {
-    HeartbeatPlan plan(Interval, Duration(0));
+    HeartbeatPlan plan(Interval, Duration(0), PingInterval);
     for (TimePoint now{10s}; now < TimePoint(12s); now += Interval)
         CHECK(plan.heartbeatDue(now, now - 1ms));
 }
 
 TEST_CASE("round trips are measured at their own, longer interval", "[net]")
 {
-    HeartbeatPlan plan(Interval, Duration(0));
+    HeartbeatPlan plan(Interval, Duration(0), PingInterval);
     int pings = 0;
     for (TimePoint now{10s}; now < TimePoint(40s); now += Interval)
         pings += plan.pingDue(now) ? 1 : 0;
-    CHECK(pings <= 30s / HeartbeatPlan::PingInterval);
+    CHECK(pings <= 30s / PingInterval);
     CHECK(pings >= 5);
 }
+
+// Guards against leases that are cut short for want of a recent sign of life.
+TEST_CASE("pings at the interval of heartbeats are never left out", "[net]")
+{
+    HeartbeatPlan plan(Interval, 3 * Interval, Interval);
+    CHECK(plan.pingDue(TimePoint(10s)));
+    // Early and late by the jitter of timers.
+    CHECK(plan.pingDue(TimePoint(10s) + Interval - 1ms));
+    CHECK(plan.pingDue(TimePoint(10s) + 2 * Interval + 1ms));
+    CHECK(plan.pingDue(TimePoint(10s) + 3 * Interval));
+}
--- a/tests/net/peernodetest.cpp
+++ b/tests/net/peernodetest.cpp
@@ -84,3 +84,41 @@
     CHECK(paused.received.empty());
     CHECK(paused.closed("silent") == 1);
 }
+
+// Guards against two overlapping runs of a task: a process that stood still took a peer that had
+// died meanwhile for alive, since the peer's last words lay unread.
+TEST_CASE("a sign of life counts from its question, however late it is read", "[net]")
+{
+    constexpr Duration Interval{20'000};
+    const auto pingOften = [Interval](PeerNodeSettings &settings) {
+        settings.timing.heartbeatInterval = Interval;
+        settings.timing.pingInterval = Interval;
+        settings.timing.silenceTimeout = Duration(20'000'000);
+    };
+    boost::asio::io_context askerContext;
+    boost::asio::io_context peerContext;
+    TimerService askerTimers(askerContext);
+    TimerService peerTimers(peerContext);
+    TestPeer asker(askerContext, askerTimers, 1, pingOften);
+    TestPeer peer(peerContext, peerTimers, 2);
+    const TimePoint dialed = askerTimers.now();
+    asker.node->dial(peer.address());
+    // The opening of the link is the first sign, its first ping follows at once.
+    REQUIRE(runUntil(askerContext, [&] {
+        peerContext.restart();
+        peerContext.poll();
+        return asker.alive.size() >= 2;
+    }));
+    CHECK(asker.alive.front() >= dialed);
+    CHECK(asker.ups.size() == 1);
+    // A ping is sent and answered; the answer lies unread for a while.
+    askerContext.restart();
+    askerContext.run_for(2 * Interval);
+    const TimePoint asked = askerTimers.now();
+    peerContext.restart();
+    peerContext.poll();
+    std::this_thread::sleep_for(10 * Interval);
+    const std::size_t before = asker.alive.size();
+    REQUIRE(runUntil(askerContext, [&] { return asker.alive.size() > before; }));
+    CHECK(asker.alive[before] <= asked);
+}
--- a/tests/net/testpeer.cpp
+++ b/tests/net/testpeer.cpp
@@ -35,6 +35,7 @@
         if (onReceived)
             onReceived(from, message);
     };
+    handlers.alive = [this](Incarnation, TimePoint at) { alive.push_back(at); };
     handlers.heartbeat = [] { return Heartbeat(); };
     node = boost::leaf::try_handle_all(
         [&] {
--- a/tests/net/testpeer.h
+++ b/tests/net/testpeer.h
@@ -38,6 +38,8 @@
     // Without heartbeats.
     std::vector<Message> received;
     std::size_t heartbeats = 0;
+    // Times since which peers are known to have been alive.
+    std::vector<TimePoint> alive;
     std::function<void(Incarnation, const Message &)> onReceived;
     std::unique_ptr<PeerNode> node;
 };
--- a/tests/soak/singlerunstest.cpp
+++ b/tests/soak/singlerunstest.cpp
@@ -1,5 +1,5 @@
 // Plays scripted disturbances on the platform's programs as separate processes, and checks that no
-// task runs twice at a time. The first two are review/1 and review/3.
+// task runs twice at a time. The first three are review/1, review/7 and review/3.
 #include "config/temporaryfile.h"
 #include "net/testloop.h"
 #include "soak/soakcallers.h"
@@ -153,6 +153,37 @@
     checkNoViolation();
 }
 
+// Guards against two overlapping runs of a task: an agent took the last messages of a dead home for
+// signs of life when it read them, and renewed its lease before it stood still again.
+TEST_CASE_METHOD(ScriptedSite, "messages that are read late do not keep the run of a killed home")
+{
+    submit(0, 5s, 10s);
+    SoakProcess &home = *site.entries().front();
+    SoakProcess &agent = *site.agents()[runningAgent()];
+    site.pass(500ms);
+    SECTION("they wait for the agent, which stands still")
+    {
+        agent.child->signal(SIGSTOP);
+        site.pass(170ms);
+        home.child->kill();
+        site.pass(280ms);
+        agent.child->signal(SIGCONT);
+    }
+    SECTION("the network holds them back")
+    {
+        home.relay->stall();
+        site.pass(170ms);
+        home.child->kill();
+        site.pass(280ms);
+        home.relay->pass();
+    }
+    // Less than it waits for a home to come back.
+    site.pass(180ms);
+    freeze(agent, 2'500ms);
+    CHECK(until([this] { return site.judge().startsOf(taskName()) == 2; }));
+    checkNoViolation();
+}
+
 // Guards against two overlapping runs of a task: an agent took a heartbeat of another writer for
 // the next life of its worker, and ended the runs of the worker that was up.
 TEST_CASE_METHOD(ScriptedSite, "a heartbeat of another writer ends no run")
