Soak: kill entries while an agent is paused, and pause it again soon after

The soak froze processes and killed entries, but a pause of less than 600 ms around a kill, with a second one within 240 ms of the waking, came by chance only. "deaths-in-pauses" does it on purpose, also in series with the other faults.

--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -105,9 +105,10 @@
 
 void SoakFaults::injectSeries()
 {
-    constexpr std::array<SoakFault, 6> Kinds = {SoakFault::Departures,   SoakFault::EarlierLives,
-                                                SoakFault::SlowWorkers,  SoakFault::ShortBreaks,
-                                                SoakFault::Replacements, SoakFault::ClockJumps};
+    constexpr std::array<SoakFault, 7> Kinds = {SoakFault::Departures,    SoakFault::EarlierLives,
+                                                SoakFault::SlowWorkers,   SoakFault::ShortBreaks,
+                                                SoakFault::Replacements,  SoakFault::ClockJumps,
+                                                SoakFault::DeathsInPauses};
     const SoakFault kind = Kinds[pick(0, Kinds.size() - 1)];
     const std::size_t agent = pick(0, m_site.agents().size() - 1);
     Duration delay{0};
@@ -147,6 +148,8 @@
         return replaceWorker(agent);
     case SoakFault::ClockJumps:
         return restartWorker(agent);
+    case SoakFault::DeathsInPauses:
+        return killInPause(*m_site.agents()[agent]);
     }
 }
 
@@ -164,12 +167,7 @@
         return;
     switch (pick(0, 2)) {
     case 0:
-        m_site.note("kill " + process.name);
-        process.child->kill();
-        process.next = m_site.timers().at(
-            m_site.timers().now() + between(100 * OneMillisecond, 2'500 * OneMillisecond),
-            [this, &process](TimePoint) { m_site.start(process); });
-        return;
+        return kill(process);
     case 1:
         return stopForGood(process);
     default:
@@ -177,6 +175,26 @@
     }
 }
 
+void SoakFaults::kill(SoakProcess &process)
+{
+    if (process.stopping || process.paused || !process.child->running())
+        return;
+    m_site.note("kill " + process.name);
+    process.child->kill();
+    process.next = m_site.timers().at(m_site.timers().now()
+                                          + between(100 * OneMillisecond, 2'500 * OneMillisecond),
+                                      [this, &process](TimePoint) { m_site.start(process); });
+}
+
+void SoakFaults::killInPause(SoakProcess &agent)
+{
+    const Duration first = between(ShortPauseFrom, ShortPauseTo);
+    pause(agent, first);
+    later(between(OneMillisecond, first), [this] { kill(any(m_site.entries())); });
+    later(first + between(OneMillisecond, ShortCutTo),
+          [this, &agent] { pause(agent, between(1'000 * OneMillisecond, LongestPause)); });
+}
+
 void SoakFaults::stopForGood(SoakProcess &process)
 {
     m_site.note("stop " + process.name);
--- a/tests/soak/soakfaults.h
+++ b/tests/soak/soakfaults.h
@@ -19,22 +19,24 @@
 namespace Bluebellquay::Testing {
 
 enum class SoakFault : std::uint8_t {
-    Processes,     // killed, stopped or paused for up to several seconds
-    Links,         // of a process, for up to two seconds
-    Store,         // away, slow or lossy; an evacuation
-    Workers,       // stand still, lose answers, crash
-    Announcements, // of another writer
-    Departures,    // said by another writer, or late
-    EarlierLives,  // late announcements of a worker's life before the present one
-    SlowWorkers,   // carry starts and stops out late
-    ShortBreaks,   // freezes of agents, and breaks of links, that nobody is given up for
-    Replacements,  // a worker leaves, or is gone, and another one comes
-    ClockJumps,    // the next life of a worker says that it was born earlier
+    Processes,      // killed, stopped or paused for up to several seconds
+    Links,          // of a process, for up to two seconds
+    Store,          // away, slow or lossy; an evacuation
+    Workers,        // stand still, lose answers, crash
+    Announcements,  // of another writer
+    Departures,     // said by another writer, or late
+    EarlierLives,   // late announcements of a worker's life before the present one
+    SlowWorkers,    // carry starts and stops out late
+    ShortBreaks,    // freezes of agents, and breaks of links, that nobody is given up for
+    Replacements,   // a worker leaves, or is gone, and another one comes
+    ClockJumps,     // the next life of a worker says that it was born earlier
+    DeathsInPauses, // an entry is killed while an agent is paused, which is paused again soon after
 };
 
-constexpr std::array<std::string_view, 11> SoakFaultNames = {
-    "processes",     "links",        "store",        "workers",      "announcements", "departures",
-    "earlier-lives", "slow-workers", "short-breaks", "replacements", "clock-jumps"};
+constexpr std::array<std::string_view, 12> SoakFaultNames = {
+    "processes",     "links",        "store",         "workers",
+    "announcements", "departures",   "earlier-lives", "slow-workers",
+    "short-breaks",  "replacements", "clock-jumps",   "deaths-in-pauses"};
 
 class SoakFaults
 {
@@ -59,6 +61,8 @@
     void inject(SoakFault kind, std::size_t agent);
     void writeForeign(std::size_t agent);
     void disturbProcess(SoakProcess &process);
+    void kill(SoakProcess &process);
+    void killInPause(SoakProcess &agent);
     void stopForGood(SoakProcess &process);
     void pause(SoakProcess &process, Duration span);
     void disturbLinks(SoakProcess &process);
