Keep the runs of an agent that was paused for up to 0.9 s

An agent wakes with contacts as old as its pause and up to 150 ms more. With 950 ms in touch a pause of 0.8 s had its runs stopped, though their lease of a second was not over.

Cause: the reserve for the stop of a run, 200 ms, is for a call that takes some ms and a pause of the processor quota of a tenth of a second.

Why the fix works: with a reserve of 100 ms a home is in touch for 1,050 ms; the stop ends at 1,100 ms, before the limit of 1,200 ms.

--- a/source/core/runsupervisor.h
+++ b/source/core/runsupervisor.h
@@ -34,7 +34,7 @@
     Duration runsOverAfter{1'200'000};
     // A home without contact for this long gets no more work done: its runs are stopped before they
     // shorten the lease of all others on the worker.
-    Duration homeInTouchFor{950'000};
+    Duration homeInTouchFor{1'050'000};
 };
 
 class RunSupervisor
