--- a/source/core/homecontacts.cpp
+++ b/source/core/homecontacts.cpp
@@ -6,16 +6,16 @@
 
 namespace Bluebellquay {
 
-bool HomeContacts::alive(TimePoint now, Incarnation incarnation, TimePoint at)
+bool HomeContacts::alive(TimePoint now, Incarnation home, TimePoint at)
 {
-    const auto position = m_homes.find(incarnation);
+    const auto position = m_homes.find(home);
     if (position == m_homes.end())
         return false;
-    Home &home = position->second;
-    home.latest = std::max(home.latest.value_or(at), at);
-    const bool before = home.inTouch;
-    home.inTouch = before || recent(now, home);
-    return home.inTouch && !before;
+    Home &known = position->second;
+    known.latest = std::max(known.latest.value_or(at), at);
+    const bool before = known.inTouch;
+    known.inTouch = before || recent(now, known);
+    return known.inTouch && !before;
 }
 
 std::vector<Incarnation> HomeContacts::expire(TimePoint now)
