Count a crash for runs that are stopped on the next life of their worker

A run with an unanswered start call is stopped on the next life before its home hears of its end; by then the agent had reported the new life as settled, which a home takes for a worker that was only cut off.

Change: a worker is settled only when the runs that were started on its earlier lives are over. Ends that a listing shows by leaving a run out make the agent report its room at once, too.

--- a/source/core/runsupervisor.cpp
+++ b/source/core/runsupervisor.cpp
@@ -167,8 +167,10 @@
             returnOrder(now, current, out);
         else if ((run.listed && !run.attempts.anyUnresolved()) || run.foreign())
             end(now, current, RunResult::Lost, EndEvidence::NextLife, out);
-        else
+        else {
+            m_runs.setOfEarlierLife(run);
             m_calls.stopOnReplacedWorker(now, current->first, run, out);
+        }
     }
 }
 
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -82,7 +82,6 @@
 {
     if (!m_worker || !(listing.worker == m_worker->identity))
         return;
-    const bool first = !m_listingReceived || m_silent;
     // A running row that can't be read may be a run of an earlier incarnation. It ends with its
     // lease, which is not renewed before.
     m_listingReceived = m_listingReceived || listing.unreadableRunning == 0;
@@ -90,8 +89,7 @@
     m_supervisor.listingReceived(now, listing, out);
     m_mayRenewLease = m_mayRenewLease || (m_listingReceived && tracked().foreignRuns() == 0);
     startWaiting(now, out);
-    if (first || !listing.ended.empty())
-        reportRooms(now, out);
+    reportRooms(now, out);
 }
 
 void RunTracker::startAnswered(TimePoint now, const RunKey &key, StartAnswer answer, RunOutbox &out)
@@ -321,7 +319,9 @@
 {
     WorkerRoom room;
     room.accepting = accepting(now);
-    room.settled = m_listingReceived && tracked().foreignRuns() == 0;
+    // Homes count a crash for the runs that end before the worker is settled again.
+    room.settled =
+        m_listingReceived && tracked().foreignRuns() == 0 && tracked().runsOfEarlierLives() == 0;
     if (!m_worker)
         return room;
     room.service = m_worker->service;
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -91,6 +91,12 @@
     return run;
 }
 
+void TrackedRuns::setOfEarlierLife(TrackedRun &run)
+{
+    m_runsOfEarlierLives += run.ofEarlierLife ? 0 : 1;
+    run.ofEarlierLife = true;
+}
+
 void TrackedRuns::start(TimePoint now, Runs::iterator position)
 {
     TrackedRun &run = position->second;
@@ -106,6 +112,7 @@
     const RunKey key = position->first;
     TrackedRun run = std::move(position->second);
     m_runs.erase(position);
+    m_runsOfEarlierLives -= run.ofEarlierLife ? 1 : 0;
     if (run.state == RunState::Waiting) {
         m_waiting.erase({run.rank, key});
         m_waitingMilliProcessors -= run.need.milliProcessors;
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -59,6 +59,9 @@
     TimePoint accepted;
     StartAttempts attempts;
     unsigned stopsSent = 0;
+    // Started on an earlier life of the worker, and not known to be over: a call to start it may
+    // have reached the present life.
+    bool ofEarlierLife = false;
     // When the worker confirmed a stop. A listing that was requested later and lacks the run proves
     // its end.
     std::optional<TimePoint> stopConfirmed;
@@ -123,6 +126,8 @@
     // Adds a run that a previous incarnation of the agent started; its need is unknown. The run
     // must not be known yet.
     TrackedRun &addForeign(TimePoint now, const RunKey &key);
+    // The worker on which the started run was ordered is gone.
+    void setOfEarlierLife(TrackedRun &run);
     // The waiting run is started: it holds its capacity from now on.
     void start(TimePoint now, Runs::iterator position);
     // Removes the run, with the capacity that it holds or waits for, and returns it.
@@ -144,6 +149,8 @@
     }
     // Number of runs that a previous incarnation of the agent started.
     std::uint32_t foreignRuns() const { return m_foreignRuns; }
+    // Number of runs that were started on an earlier life of the worker.
+    std::uint32_t runsOfEarlierLives() const { return m_runsOfEarlierLives; }
     // Ends of the runs that a listing shows to be over by not containing them. `running` are the
     // runs that it lists as running; those that it lists as ended must have been removed.
     std::vector<ProvenEnd> endsOfMissing(const RunListing &listing,
@@ -161,6 +168,7 @@
     // Sum of the processors of all waiting runs.
     std::uint64_t m_waitingMilliProcessors = 0;
     std::uint32_t m_foreignRuns = 0;
+    std::uint32_t m_runsOfEarlierLives = 0;
 };
 
 } // namespace Bluebellquay
--- a/tests/dispatch/runtrackertest.cpp
+++ b/tests/dispatch/runtrackertest.cpp
@@ -535,6 +535,26 @@
     CHECK(lastRoom()->settled);
 }
 
+// Guards against a crash that isn't counted for a task: its home takes a settled worker for one
+// that was only cut off. Seen in the random schedules with one slow worker, seeds 2219 and 3563.
+TEST_CASE_METHOD(TrackerFixture, "a new life is settled when the runs of the earlier one are over")
+{
+    order(0, 40'000);
+    replaceWorker();
+    pass(1ms);
+    list({}, {});
+    REQUIRE(lastRoom() != nullptr);
+    CHECK(lastRoom()->accepting);
+    CHECK_FALSE(lastRoom()->settled);
+    clear();
+    tracker.stopAnswered(now, key(0), true, out);
+    pass(1ms);
+    list({}, {});
+    REQUIRE(lastRoom() != nullptr);
+    CHECK(onlyEnd().run == key(0));
+    CHECK(lastRoom()->settled);
+}
+
 TEST_CASE_METHOD(TrackerFixture, "a run whose end the worker has yet to list is not lost")
 {
     run(0, 40'000);
