Switch the limit of the lease off, too, where a test shows what silent homes cost

Cause: "agents that let runs of silent homes go on are found out" found nothing any more: since the simulated agents keep the limit of the lease, that limit ended the runs that the test lets go on.

Change: the test's setting switches both means off.

--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -203,8 +203,10 @@
     agent.lastSeen = 0;
     agent.fencingToken = agent.incarnation.value() * FencingTokensPerIncarnation;
     RunTrackerSettings settings;
-    if (!m_settings.agentsStopSilentHomes)
+    if (!m_settings.agentsStopSilentHomes) {
         settings.homeInTouchFor = std::chrono::hours(1);
+        settings.runsOverAfter = std::chrono::hours(1);
+    }
     agent.tracker = std::make_unique<RunTracker>(settings);
     agent.evacuations = std::make_unique<EvacuationRelay>(
         [this, index](const Evacuations &evacuations) {
