--- a/source/core/capacityreporter.cpp
+++ b/source/core/capacityreporter.cpp
@@ -1,17 +1,21 @@
 #include "core/capacityreporter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Bluebellquay {
 
 void CapacityReporter::homeUp(Incarnation home)
 {
+    m_shares.homeUp(home);
     if (m_homes.try_emplace(home).second)
         homesChanged();
 }
 
 void CapacityReporter::homeGone(Incarnation home)
 {
+    m_shares.homeGone(home);
+    m_claims.remove(home);
     if (m_homes.erase(home) > 0)
         homesChanged();
 }
@@ -54,16 +58,28 @@
 {
     const bool news = !(room == m_latest);
     m_latest = room;
+    const std::optional<Incarnation> reservedFor = reserve(now, room);
     for (auto &[incarnation, home] : m_homes) {
         const bool otherState = home.toldAccepting != accepting(home, room)
             || home.toldProbation != room.probation || home.toldSettled != room.settled;
         home.outdated = home.outdated || news;
         const bool turn = writtenTo.contains(incarnation) || now >= home.toldAt + interval();
-        if (otherState || (home.outdated && turn))
+        if (otherState || (home.outdated && turn) || incarnation == reservedFor)
             tell(now, incarnation, home, room, messages);
     }
 }
 
+std::optional<Incarnation> CapacityReporter::reserve(TimePoint now, const WorkerRoom &room)
+{
+    m_claims.update(now, room.free.milliProcessors);
+    const std::optional<Incarnation> reserved = m_claims.reservedFor();
+    if (reserved == std::exchange(m_reservedBefore, reserved))
+        return std::nullopt;
+    // What is withheld has changed.
+    homesChanged();
+    return reserved;
+}
+
 void CapacityReporter::tell(TimePoint now, Incarnation home, const WorkerRoom &room,
                             Messages &messages)
 {
@@ -72,6 +88,7 @@
 
 void CapacityReporter::tellDue(TimePoint now, const WorkerRoom &room, Messages &messages)
 {
+    reserve(now, room);
     for (auto &[incarnation, home] : m_homes) {
         if (home.outdated && now >= home.toldAt + interval())
             tell(now, incarnation, home, room, messages);
@@ -80,7 +97,7 @@
 
 std::optional<TimePoint> CapacityReporter::nextDue() const
 {
-    std::optional<TimePoint> next;
+    std::optional<TimePoint> next = m_claims.nextExpiry();
     for (const auto &[incarnation, home] : m_homes) {
         if (home.outdated)
             next = std::min(next.value_or(TimePoint::max()), home.toldAt + interval());
@@ -99,9 +116,19 @@
     WorkerRoom report = room;
     report.accepting = accepting(home, room);
     report.sequence = ++m_sequence;
-    report.homes = static_cast<std::uint32_t>(m_homes.size());
+    report.free.milliProcessors -=
+        std::min(report.free.milliProcessors, m_claims.withheldFrom(incarnation));
+    report.homes = homesOf(now, incarnation, room);
     report.lastOrder = home.lastOrder;
     messages.emplace_back(incarnation, std::move(report));
 }
 
+std::uint32_t CapacityReporter::homesOf(TimePoint now, Incarnation home,
+                                        const WorkerRoom &room) const
+{
+    if (!m_lendRoom)
+        return static_cast<std::uint32_t>(m_homes.size());
+    return equalHomes(m_shares.shareOf(now, home, room.total.milliProcessors), m_sequence);
+}
+
 } // namespace Bluebellquay
--- a/source/core/capacityreporter.h
+++ b/source/core/capacityreporter.h
@@ -9,6 +9,8 @@
 
 #include "base/coretime.h"
 #include "base/messages.h"
+#include "sharing/roomclaims.h"
+#include "sharing/roomshares.h"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +30,11 @@
     // bounds the reports of an agent to 200 a second.
     static constexpr Duration IntervalPerHome{5'000};
 
+    // With lendRoom, reports tell each home its share by what the homes use, else an equal one.
+    explicit CapacityReporter(bool lendRoom = false)
+        : m_lendRoom(lendRoom)
+    { }
+
     void homeUp(Incarnation home);
     void homeGone(Incarnation home);
     bool knows(Incarnation home) const { return m_homes.contains(home); }
@@ -37,6 +44,23 @@
     // The same for a home that is out of touch.
     void setInTouch(Incarnation home, bool inTouch);
     void orderReceived(Incarnation home, OrderNumber order);
+    // An order of the home found no room.
+    void orderReturned(TimePoint now, Incarnation home, const RoomClaim &claim)
+    {
+        if (m_lendRoom)
+            m_claims.returned(now, home, claim);
+    }
+    const RoomClaims &claims() const { return m_claims; }
+    // A run of the home has started.
+    void orderTaken(Incarnation home) { m_claims.taken(home); }
+    // Tells what the runs of each home hold, as a function of the home in thousandths of a
+    // processor.
+    template <typename HeldBy>
+    void updateUse(TimePoint now, const HeldBy &heldBy)
+    {
+        for (const auto &[incarnation, home] : m_homes)
+            m_shares.holds(now, incarnation, heldBy(incarnation));
+    }
 
     // The capacity may have changed, or an order was received: sends reports to the homes that are
     // due. Homes in writtenTo get another message at this time, so their report is not delayed.
@@ -74,7 +98,18 @@
         return room.accepting && !home.retired && home.inTouch;
     }
 
+    // Withholds room for the home that is worst off. Returns that home if the room has just been
+    // reserved for it.
+    std::optional<Incarnation> reserve(TimePoint now, const WorkerRoom &room);
+    // The homes among which the receiving one would have an equal share of what it may count on.
+    std::uint32_t homesOf(TimePoint now, Incarnation home, const WorkerRoom &room) const;
+
+    bool m_lendRoom;
     std::map<Incarnation, Home> m_homes;
+    RoomShares m_shares;
+    RoomClaims m_claims;
+    // The home for which room was reserved at the latest change.
+    std::optional<Incarnation> m_reservedBefore;
     // State at the latest change, without the fields that differ between homes.
     WorkerRoom m_latest;
     std::uint64_t m_sequence = 0;
--- a/source/core/runsupervisor.h
+++ b/source/core/runsupervisor.h
@@ -35,6 +35,9 @@
     // A home without contact for this long gets no more work done: its runs are stopped before they
     // shorten the lease of all others on the worker.
     Duration homeInTouchFor{1'050'000};
+    // Homes that take less of the worker than others lend their share of it; see
+    // sharing/roomshares.
+    bool lendRoom = false;
 };
 
 class RunSupervisor
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -1,5 +1,6 @@
 #include "core/runtracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Bluebellquay {
@@ -7,6 +8,7 @@
 RunTracker::RunTracker(RunTrackerSettings settings)
     : m_contacts(settings.homeInTouchFor)
     , m_supervisor(settings, m_contacts)
+    , m_reports(settings.lendRoom)
     , m_leaseLimit(settings.runsOverAfter, m_contacts)
 { }
 
@@ -157,6 +159,8 @@
     if (m_reports.retired(home) || !m_contacts.inTouch(now, home))
         returnOrders(now, home, message, false, out);
     startWaiting(now, out);
+    if (anyStarted(message))
+        m_reports.orderTaken(home);
     if (!accepting(now))
         m_supervisor.returnWaiting(now, out);
     // The home counted on capacity that another home has taken. It chooses a worker again with the
@@ -187,6 +191,20 @@
         RunsEnded{{kept != nullptr ? *kept : EndedRun{key, RunResult::NotStarted, Duration(0)}}});
 }
 
+RoomClaim RunTracker::claimOf(TimePoint now, const StartRuns &message, const RunOrder &order)
+{
+    const Duration spare = message.timeLeft - order.expectedRunTime;
+    return {{spare < Duration(0), message.priority, now + spare},
+            message.need.milliProcessors + order.keepFree};
+}
+
+bool RunTracker::anyStarted(const StartRuns &message) const
+{
+    return std::any_of(message.orders.begin(), message.orders.end(), [&](const RunOrder &order) {
+        return tracked().holdsStarted({message.job, message.step, order.index, order.run});
+    });
+}
+
 void RunTracker::returnOrders(TimePoint now, Incarnation home, const StartRuns &message,
                               bool keepPatient, RunOutbox &out)
 {
@@ -197,8 +215,11 @@
             continue;
         // Its home would order the task elsewhere at once, beside the run that is still here.
         const bool patient = order.mayWait || tracked().anotherStarted(key);
-        if (!keepPatient || !patient)
-            m_supervisor.returnOrder(now, position, out);
+        if (keepPatient && patient)
+            continue;
+        if (keepPatient && accepting(now))
+            m_reports.orderReturned(now, home, claimOf(now, message, order));
+        m_supervisor.returnOrder(now, position, out);
     }
 }
 
@@ -312,6 +333,7 @@
     std::set<Incarnation> writtenTo;
     for (const auto &[home, message] : out.messages)
         writtenTo.insert(home);
+    m_reports.updateUse(now, [this](Incarnation home) { return tracked().heldBy(home); });
     m_reports.changed(now, describeRoom(now), writtenTo, out.messages);
 }
 
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -103,6 +103,7 @@
     const RunTrackerStatistics &statistics() const { return m_supervisor.statistics(); }
     // Capacity that neither started runs nor waiting orders take; for metrics and tests.
     ResourceNeed freeRoom() const;
+    const RoomClaims &claims() const { return m_reports.claims(); }
     double slowdown() const { return m_supervisor.health().slowdown(); }
 
 private:
@@ -113,6 +114,8 @@
     // lets them wait, or whose task has another run here.
     void returnOrders(TimePoint now, Incarnation home, const StartRuns &message, bool keepPatient,
                       RunOutbox &out);
+    static RoomClaim claimOf(TimePoint now, const StartRuns &message, const RunOrder &order);
+    bool anyStarted(const StartRuns &message) const;
     static void refuseOrders(Incarnation home, const StartRuns &message, RunOutbox &out);
     // An order under a number that is in use or was used lately: nothing is started for it.
     void answerKnownOrder(Incarnation home, const RunKey &key, RunOutbox &out) const;
--- a/source/core/trackedruns.cpp
+++ b/source/core/trackedruns.cpp
@@ -103,6 +103,7 @@
     m_waiting.erase({run.rank, position->first});
     m_waitingMilliProcessors -= run.need.milliProcessors;
     m_held.hold(run.need);
+    m_heldByHome[run.home] += run.need.milliProcessors;
     run.state = RunState::Ordered;
     run.started = now;
 }
@@ -120,6 +121,10 @@
         --m_foreignRuns;
     } else {
         m_held.release(run.need);
+        std::uint64_t &held = m_heldByHome[run.home];
+        held -= run.need.milliProcessors;
+        if (held == 0)
+            m_heldByHome.erase(run.home);
     }
     return run;
 }
--- a/source/core/trackedruns.h
+++ b/source/core/trackedruns.h
@@ -111,10 +111,22 @@
         const auto position = m_runs.find(key);
         return position != m_runs.end() && position->second.home == home;
     }
+    // Whether it is known and has been started.
+    bool holdsStarted(const RunKey &key) const
+    {
+        const auto position = m_runs.find(key);
+        return position != m_runs.end() && position->second.state != RunState::Waiting;
+    }
     bool empty() const { return m_runs.empty(); }
     std::size_t size() const { return m_runs.size(); }
     bool anyOf(Incarnation home) const;
     std::size_t countOf(Incarnation home) const;
+    // Processors that the started runs of the home hold, in thousandths.
+    std::uint64_t heldBy(Incarnation home) const
+    {
+        const auto position = m_heldByHome.find(home);
+        return position != m_heldByHome.end() ? position->second : 0;
+    }
     // In the order in which they should start.
     const Waiting &waiting() const { return m_waiting; }
 
@@ -165,6 +177,8 @@
     Waiting m_waiting;
     // By all runs that are neither waiting nor foreign.
     HeldCapacity m_held;
+    // The same, processors alone, for each home that has any.
+    std::map<Incarnation, std::uint64_t> m_heldByHome;
     // Sum of the processors of all waiting runs.
     std::uint64_t m_waitingMilliProcessors = 0;
     std::uint32_t m_foreignRuns = 0;
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -62,6 +62,21 @@
         connect(address, position->second);
 }
 
+void PeerLinks::dialAgain(const std::string &address)
+{
+    const auto position = m_targets.find(address);
+    if (m_stopping || position == m_targets.end())
+        return;
+    Target &target = position->second;
+    if (target.link && target.link->peer())
+        return;
+    target.delay.reset();
+    // An attempt that was begun while nobody listened may hang until its time-out.
+    if (target.link)
+        return target.link->fail(LinkEnd::Restarted);
+    redial(address);
+}
+
 void PeerLinks::forget(const std::string &address)
 {
     const auto position = m_targets.find(address);
@@ -167,7 +182,9 @@
             LogEvent(LogLevel::Warning, "peer_unreachable")
                 .field("address", link.dialedAddress())
                 .field("reason", toString(reason));
-        if (!m_stopping)
+        if (reason == LinkEnd::Restarted)
+            connect(link.dialedAddress(), *target);
+        else if (!m_stopping)
             scheduleRedial(link.dialedAddress(), *target);
     }
     if (wasUp && m_handlers.down)
--- a/source/net/peerlinks.h
+++ b/source/net/peerlinks.h
@@ -31,6 +31,7 @@
     boost::leaf::result<void> listen();
     void dial(const std::string &address);
     void forget(const std::string &address);
+    void dialAgain(const std::string &address);
     bool send(Incarnation to, const Message &message);
     void sendHeartbeats();
     bool connected(Incarnation peer) const { return m_byPeer.contains(peer); }
--- a/source/net/peernode.cpp
+++ b/source/net/peernode.cpp
@@ -35,6 +35,11 @@
     m_links->forget(address);
 }
 
+void PeerNode::dialAgain(const std::string &address)
+{
+    m_links->dialAgain(address);
+}
+
 bool PeerNode::send(Incarnation to, const Message &message)
 {
     return m_links->send(to, message);
--- a/source/net/peernode.h
+++ b/source/net/peernode.h
@@ -78,6 +78,9 @@
     // Keeps a link to this address (IP address:port) until forget(). Idempotent.
     void dial(const std::string &address);
     void forget(const std::string &address);
+    // A process has started at this address just now: dials it at once, unless a link leads there
+    // or the address is not dialled at all.
+    void dialAgain(const std::string &address);
 
     // Queues the message; all messages of one turn of the event loop to one peer go in one frame.
     // Returns false, and counts it, if there is no link or the message
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -203,6 +203,7 @@
     agent.lastSeen = 0;
     agent.fencingToken = agent.incarnation.value() * FencingTokensPerIncarnation;
     RunTrackerSettings settings;
+    settings.lendRoom = m_settings.lendRoom;
     if (!m_settings.agentsStopSilentHomes) {
         settings.homeInTouchFor = std::chrono::hours(1);
         settings.runsOverAfter = std::chrono::hours(1);
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -38,6 +38,8 @@
     // Number of times that a caller whose deadline has passed without a known outcome submits its
     // job again, with as much time as before.
     unsigned submissionsAfterDeadline = 0;
+    // Agents let homes lend each other their shares.
+    bool lendRoom = false;
     // Switched off by a test that shows that the check of the runs notices it.
     bool agentsStopSilentHomes = true;
 };
--- a/tests/net/linkfaulttest.cpp
+++ b/tests/net/linkfaulttest.cpp
@@ -256,6 +256,39 @@
     CHECK(left.counted("bluebellquay_peer_dials_total") == dials);
 }
 
+// Guards against an attempt that hangs until its time-out while the peer is back: seen after a loss
+// of all power, when agents had dialled entries that started a little later.
+TEST_CASE("A peer that says that it has started is dialled at once", "[net]")
+{
+    Site site;
+    const auto noRedial = [](PeerNodeSettings &settings) {
+        settings.minRedialDelay = settings.maxRedialDelay = std::chrono::hours(1);
+        settings.timing.silenceTimeout = std::chrono::hours(1);
+    };
+    TestPeer left(site.context, site.timers, 1, noRedial);
+    // Accepts connections and answers nothing.
+    boost::asio::ip::tcp::acceptor silent(site.context,
+                                          {boost::asio::ip::address_v4::loopback(), 0});
+    const unsigned short port = silent.local_endpoint().port();
+    const std::string address = "127.0.0.1:" + std::to_string(port);
+    left.node->dialAgain(address);
+    CHECK(left.counted("bluebellquay_peer_dials_total") == 0);
+    left.node->dial(address);
+    left.node->dialAgain(address);
+    CHECK(left.closed("restarted") == 1);
+    CHECK(left.counted("bluebellquay_peer_dials_total") == 2);
+
+    silent.close();
+    REQUIRE(runUntil(site.context,
+                     [&] { return left.closed("lost") + left.closed("connect_failed") > 0; }));
+    TestPeer right(site.context, site.timers, 2,
+                   [port](PeerNodeSettings &settings) { settings.endpoint.port(port); });
+    left.node->dialAgain(address);
+    REQUIRE(runUntil(site.context, [&] { return left.node->connected(Incarnation(2)); }));
+    left.node->dialAgain(address);
+    CHECK(left.counted("bluebellquay_peer_dials_total") == 3);
+}
+
 TEST_CASE("An address that can't be used is counted and harms no other", "[net]")
 {
     Site site;
--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -161,11 +161,18 @@
         context.run_one_for(1ms);
     store.setMode(Testing::StoreMode::Serving);
     std::set<std::string> addresses;
+    std::vector<std::string> written;
     EntryDirectory directory(
         client, timers, [&](const EntryAddress &entry) { addresses.insert(entry.address); },
-        [&](const EntryAddress &entry) { addresses.erase(entry.address); });
+        [&](const EntryAddress &entry) { addresses.erase(entry.address); },
+        [&](const EntryAddress &entry) { written.push_back(entry.address); });
     directory.start();
     until([&] { return addresses.contains("127.0.0.1:7700"); });
+    CHECK(written.empty());
+    // It has started again.
+    advertiser.start();
+    until([&] { return !written.empty(); });
+    CHECK(written.front() == "127.0.0.1:7700");
 }
 
 // Seen on the grown hinokuni-archive, trouble-3: each agent asked each entry for a large document
