Bound what clients outside the limits can make a process hold

Cause: the parser takes trailers and the line of a chunk only when they are whole, so the buffer of a connection grew with them; one body was bounded, not their sum; connections had one bound for each listener and none before a peer introduces itself.

Four new tests of the server and the client. Fuzzing, the product's own interface as a whole and unread bytes of handled requests: open.

--- a/source/base/runmessages.h
+++ b/source/base/runmessages.h
@@ -149,8 +149,8 @@
     std::uint32_t overcommittedMilliProcessors = 0;
     // Actual run time relative to the expected one, in thousandths; 1000 is ordinary.
     std::uint32_t slowdownPermille = 1000;
-    // Homes that share the worker, the receiving one included. Where homes lend each other room, the
-    // number of homes with equal shares among which the receiver would have its own.
+    // Homes that share the worker, the receiving one included. Where homes lend each other room,
+    // the number of homes with equal shares among which the receiver would have its own.
     std::uint32_t homes = 1;
     // Last order of the receiving home that these figures include.
     OrderNumber lastOrder;
--- a/source/core/jobtable.cpp
+++ b/source/core/jobtable.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// A waiting task's place in the queue, and its timers.
+constexpr std::size_t WaitingTaskBytes = 128;
+
 bool isUnstarted(const KeyedJob &job)
 {
     return !job.released && job.ordersSent == 0;
@@ -13,6 +16,16 @@
 
 } // namespace
 
+std::size_t JobTable::bytesOf(const KeyedJobSpec &spec)
+{
+    std::size_t bytes = sizeof(KeyedJob) + spec.payload.size();
+    for (const KeyedStep &step : spec.steps)
+        bytes += sizeof(KeyedStep) + step.after.size() * sizeof(step.after.front())
+            + step.requiredLabel.size() + step.dataRack.size()
+            + step.tasks * (sizeof(KeyedTask) + WaitingTaskBytes);
+    return bytes;
+}
+
 KeyedJob *JobTable::find(JobKey key)
 {
     const auto position = m_jobs.find(key);
@@ -35,6 +48,7 @@
     const JobKey key = job.spec.key;
     for (const CallId call : job.calls)
         m_calls[call] = key;
+    m_bytes += bytesOf(job.spec);
     return m_jobs[key] = std::move(job);
 }
 
@@ -85,6 +99,7 @@
     Drained drained{std::move(job.releaseRequests), std::nullopt};
     if (job.successor)
         drained.successor = makeSuccessorJob(std::move(*job.successor), highestRun(job));
+    m_bytes -= bytesOf(job.spec);
     m_jobs.erase(position);
     return drained;
 }
--- a/source/core/jobtable.h
+++ b/source/core/jobtable.h
@@ -29,6 +29,9 @@
 
     const Jobs &all() const { return m_jobs; }
     std::size_t size() const { return m_jobs.size(); }
+    // Estimated memory of all jobs, and of one, in bytes.
+    std::size_t bytes() const { return m_bytes; }
+    static std::size_t bytesOf(const KeyedJobSpec &spec);
     // Number of calls that wait for a job.
     std::size_t calls() const { return m_calls.size(); }
     // Null if the job is not known.
@@ -62,6 +65,8 @@
 
 private:
     Jobs m_jobs;
+    // Sum of bytesOf() the jobs; successors of released jobs are not counted.
+    std::size_t m_bytes = 0;
     // Key of the job that each call waits for.
     std::unordered_map<CallId, JobKey> m_calls;
 };
--- a/source/core/rundispatcher.cpp
+++ b/source/core/rundispatcher.cpp
@@ -48,7 +48,8 @@
     job.deadline = deadline;
     job.lastRun = firstRun;
     m_supervisor.forecast().apply(job);
-    if (jobsHeld().size() >= m_settings.maxJobs) {
+    if (jobsHeld().size() >= m_settings.maxJobs
+        || jobsHeld().bytes() + JobTable::bytesOf(job.spec) > m_settings.maxJobBytes) {
         ++m_supervisor.statistics().jobsRefused;
         out.answers.push_back({call, refusal(now, job, Reason::Overload)});
         return;
--- a/source/core/rundispatcher.h
+++ b/source/core/rundispatcher.h
@@ -40,6 +40,8 @@
     Duration agentGoneAfter{2'500'000};
     // Limit of the jobs in memory; further jobs are refused.
     std::size_t maxJobs = 20'000;
+    // Limit of the memory that they take, as JobTable estimates it, in bytes.
+    std::size_t maxJobBytes = 256UL << 20;
     // 30 s. Deadline of jobs whose caller set none.
     Duration defaultTimeout{30'000'000};
     // Factor of the run time on workers outside the rack of the data.
--- a/source/net/connectionend.h
+++ b/source/net/connectionend.h
@@ -21,6 +21,10 @@
     // The request was complete and had no response.
     ClientGoneBeforeHandling,
     ClientGoneWhileHandling,
+    // Made room for others: the least recently active of too many connections, or of those whose
+    // unfinished requests take too much memory.
+    ConnectionLimit,
+    MemoryLimit,
     // The response could not be sent.
     WriteFailed,
     WriteTimeout,
@@ -37,6 +41,8 @@
     ConnectionEnd::RequestCutShort,
     ConnectionEnd::ClientGoneBeforeHandling,
     ConnectionEnd::ClientGoneWhileHandling,
+    ConnectionEnd::ConnectionLimit,
+    ConnectionEnd::MemoryLimit,
     ConnectionEnd::WriteFailed,
     ConnectionEnd::WriteTimeout,
     ConnectionEnd::ServerClosed,
@@ -60,6 +66,10 @@
         return "client_gone_before_handling";
     case ConnectionEnd::ClientGoneWhileHandling:
         return "client_gone_while_handling";
+    case ConnectionEnd::ConnectionLimit:
+        return "connection_limit";
+    case ConnectionEnd::MemoryLimit:
+        return "memory_limit";
     case ConnectionEnd::WriteFailed:
         return "write_failed";
     case ConnectionEnd::WriteTimeout:
--- a/source/net/connectsession.cpp
+++ b/source/net/connectsession.cpp
@@ -168,6 +168,11 @@
         dispatch();
         return;
     }
+    // The parser takes the line of a chunk, and all trailers, only when they are whole.
+    if (m_buffer.size() > MaxHeaderBytes) {
+        rejectMalformed(http::error::header_limit);
+        return;
+    }
     if (m_parser->is_header_done() && !m_continueSent && m_request.expectsContinue)
         sendContinue();
     else
--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -28,6 +28,9 @@
 // the first size is read in steps of the second, so that it takes few system calls.
 constexpr std::size_t SmallBodyBytes = 4UL << 10;
 constexpr std::size_t LargeReadBytes = 64UL << 10;
+// The line of a chunk, or the trailers, of a reply that does not end would fill the buffer.
+constexpr std::size_t MaxBufferBytes = 256UL << 10;
+constexpr std::uint32_t MaxReplyHeaderBytes = 16U << 10;
 // A connection on which nothing comes back is noticed after about three seconds, also while a long
 // poll waits.
 constexpr int KeepAliveIdleSeconds = 1;
@@ -115,7 +118,7 @@
 
     std::shared_ptr<State> m_state;
     Tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{MaxBufferBytes};
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     Callback m_callback;
@@ -213,6 +216,7 @@
 {
     m_parser.emplace();
     m_parser->body_limit(MaxReplyBytes);
+    m_parser->header_limit(MaxReplyHeaderBytes);
     http::async_read_header(m_socket, m_buffer, *m_parser,
                             [self = shared_from_this(), generation = m_generation](
                                 const boost::system::error_code &error, std::size_t) {
--- a/source/net/httplistener.cpp
+++ b/source/net/httplistener.cpp
@@ -59,19 +59,57 @@
                 self->now() + AcceptRetryDelay, [raw = self.get()](TimePoint) { raw->accept(); });
             return;
         }
-        if (self->m_sessions.size() < self->m_settings.maxConnections) {
-            auto session = std::make_shared<Session>(self, std::move(socket));
-            self->m_sessions.insert(session.get());
-            session->read();
-        } else {
-            LogEvent(LogLevel::Warning, "connection_refused")
-                .field("reason", "too_many_connections")
-                .field("connections", self->m_sessions.size());
-        }
+        self->admit(std::move(socket));
         self->accept();
     });
 }
 
+void HttpServer::Listener::admit(Tcp::socket socket)
+{
+    if (m_sessions.size() >= m_settings.maxConnections) {
+        Session *const oldest = longestWithoutProgress(false);
+        if (oldest == nullptr) {
+            // All requests are whole.
+            ends.add(ConnectionEnd::ConnectionLimit);
+            if (m_endLog.allow(now()))
+                LogEvent(LogLevel::Warning, "connection_refused")
+                    .field("listener", m_settings.name)
+                    .field("reason", "too_many_connections")
+                    .field("connections", m_sessions.size())
+                    .field("not_logged", m_endLog.takeSuppressed());
+            return;
+        }
+        oldest->close(ConnectionEnd::ConnectionLimit);
+    }
+    auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
+    m_sessions.insert(session.get());
+    session->read();
+}
+
+HttpServer::Session *HttpServer::Listener::longestWithoutProgress(bool withRequest) const
+{
+    Session *oldest = nullptr;
+    for (Session *session : m_sessions) {
+        const bool eligible = withRequest ? session->unfinished() : session->expendable();
+        if (eligible && (oldest == nullptr || session->progressAt() < oldest->progressAt()))
+            oldest = session;
+    }
+    return oldest;
+}
+
+void HttpServer::Listener::setUnfinished(Session &session, std::size_t bytes)
+{
+    m_unfinishedBytes -= session.chargeUnfinished(bytes);
+    m_unfinishedBytes += bytes;
+    while (m_unfinishedBytes > m_settings.maxUnfinishedBytes) {
+        Session *const oldest = longestWithoutProgress(true);
+        if (oldest == nullptr)
+            break;
+        oldest->refuseForMemory();
+    }
+    m_mostUnfinishedBytes = std::max(m_mostUnfinishedBytes, m_unfinishedBytes);
+}
+
 void HttpServer::Listener::sweep()
 {
     const std::vector<Session *> sessions(m_sessions.begin(), m_sessions.end());
--- a/source/net/httplistener.h
+++ b/source/net/httplistener.h
@@ -2,6 +2,7 @@
 // deadlines.
 #pragma once
 
+#include "kernel/logthrottle.h"
 #include "net/connectionend.h"
 #include "net/httpserver.h"
 
@@ -41,6 +42,12 @@
             m_handler(request, exchange);
     }
     void remove(Session *session) { m_sessions.erase(session); }
+    // The unfinished request of the session takes this much memory now. May refuse a request, this
+    // one also.
+    void setUnfinished(Session &session, std::size_t bytes);
+    std::size_t unfinishedBytes() const { return m_unfinishedBytes; }
+    std::size_t mostUnfinishedBytes() const { return m_mostUnfinishedBytes; }
+    LogThrottle &endLog() { return m_endLog; }
 
     bool closing = false;
     std::size_t openExchanges = 0;
@@ -49,6 +56,10 @@
 
 private:
     void startSweeping();
+    void admit(boost::asio::ip::tcp::socket socket);
+    // The session without progress for longest whose request is not whole, if any: of those with a
+    // request, or of all.
+    Session *longestWithoutProgress(bool withRequest) const;
 
     HttpServerSettings m_settings;
     HttpHandler m_handler;
@@ -57,6 +68,10 @@
     unsigned short m_port = 0;
     // Sessions keep themselves alive by their pending operations and remove themselves at the end.
     std::unordered_set<Session *> m_sessions;
+    // Sum over the sessions of what their unfinished requests take.
+    std::size_t m_unfinishedBytes = 0;
+    std::size_t m_mostUnfinishedBytes = 0;
+    LogThrottle m_endLog;
     TimerSubscription m_sweep;
     TimerSubscription m_acceptRetry;
 };
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -43,6 +43,16 @@
     return m_listener->openExchanges;
 }
 
+std::size_t HttpServer::unfinishedBytes() const
+{
+    return m_listener->unfinishedBytes();
+}
+
+std::size_t HttpServer::mostUnfinishedBytes() const
+{
+    return m_listener->mostUnfinishedBytes();
+}
+
 const ConnectionEndCounts &HttpServer::connectionEnds() const
 {
     return m_listener->ends;
--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -38,7 +38,12 @@
     // so that it can read the response: closing a socket with unread bytes resets the connection.
     std::size_t maxDrainedBytes = 1UL << 20;
     Duration drainTimeout{2'000'000};
+    // Beyond this, the connection that has been without progress for longest is closed for each new
+    // one, unless its request is whole.
     std::size_t maxConnections = 2'000;
+    // What unfinished requests may take together. Beyond this, the one that has been without
+    // progress for longest is refused. Must hold several whole requests.
+    std::size_t maxUnfinishedBytes = 64UL << 20;
 };
 
 struct HttpRequest
@@ -99,6 +104,9 @@
     // system, no client sends on behind its last one, and no connection is so new that its first
     // request is still expected.
     bool idle() const;
+    // Memory that unfinished requests take, in bytes, and the most that they took.
+    std::size_t unfinishedBytes() const;
+    std::size_t mostUnfinishedBytes() const;
     // Connections that have ended, by reason.
     const ConnectionEndCounts &connectionEnds() const;
     // Requests that the server answered because their handler did not, by reason.
--- a/source/net/httpsession.cpp
+++ b/source/net/httpsession.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Bluebellquay {
@@ -19,6 +20,9 @@
 constexpr unsigned HttpVersion11 = 11;
 // Most requests fit, so that one read takes them whole.
 constexpr std::size_t ReadBytes = 4'096;
+constexpr unsigned StatusMalformed = 400;
+constexpr unsigned StatusTooLarge = 413;
+constexpr unsigned StatusHeaderTooLarge = 431;
 constexpr unsigned StatusBadGateway = 502;
 // Says that the request has not run and never will.
 constexpr unsigned StatusUnavailable = 503;
@@ -33,12 +37,16 @@
 {
     m_phase = phase;
     m_since = m_listener->now();
+    m_progressAt = m_since;
+    if (phase != Phase::Reading)
+        m_listener->setUnfinished(*this, 0);
 }
 
 void HttpServer::Session::read()
 {
     enter(Phase::Idle);
     m_requestId.clear();
+    m_readBytes = 0;
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(m_listener->settings().maxHeaderBytes));
@@ -72,6 +80,7 @@
     if (error)
         return close(requestBegun() ? ConnectionEnd::RequestCutShort : ConnectionEnd::ClientClosed);
     m_buffer.commit(size);
+    m_progressAt = m_listener->now();
     parse();
 }
 
@@ -83,21 +92,39 @@
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         const std::size_t used = m_parser->put(m_buffer.data(), error);
         m_buffer.consume(used);
+        m_readBytes += used;
         if (error || used == 0)
             break;
     }
     if (error && error != http::error::need_more)
         return refuseMalformed(error);
     if (m_parser->is_done())
-        requestRead();
-    else
+        return requestRead();
+    // The parser takes the line of a chunk, and all trailers, only when they are whole.
+    if (m_buffer.size() > m_listener->settings().maxHeaderBytes)
+        return refuse(HttpResponse{StatusHeaderTooLarge, {}, {}});
+    m_listener->setUnfinished(*this, unfinishedBytes());
+    if (m_phase == Phase::Reading)
         receive();
 }
 
+std::size_t HttpServer::Session::unfinishedBytes() const
+{
+    const std::size_t header = std::min(m_readBytes, m_listener->settings().maxHeaderBytes);
+    return header + m_buffer.capacity() + m_parser->get().body().capacity();
+}
+
+void HttpServer::Session::refuseForMemory()
+{
+    recordEnd(ConnectionEnd::MemoryLimit);
+    m_parser.reset();
+    refuse(HttpResponse{StatusUnavailable, {}, RefusedRetrySeconds});
+}
+
 void HttpServer::Session::refuseMalformed(const boost::system::error_code &error)
 {
     const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
-    refuse(HttpResponse{tooLarge ? 413U : 400U, {}, {}});
+    refuse(HttpResponse{tooLarge ? StatusTooLarge : StatusMalformed, {}, {}});
 }
 
 void HttpServer::Session::refuse(HttpResponse response)
@@ -278,6 +305,7 @@
 void HttpServer::Session::drain()
 {
     m_buffer.clear();
+    m_buffer.shrink_to_fit();
     receive();
 }
 
@@ -295,7 +323,7 @@
     if (m_phase == Phase::Closed)
         return;
     recordEnd(end);
-    m_phase = Phase::Closed;
+    enter(Phase::Closed);
     const auto closed = std::exchange(m_closed, nullptr);
     const bool open = m_exchangeOpen;
     settle();
@@ -382,7 +410,8 @@
     if (std::exchange(m_endRecorded, true))
         return;
     m_listener->ends.add(end);
-    if (!requestBegun() || end == ConnectionEnd::ResponseSent)
+    if (!requestBegun() || end == ConnectionEnd::ResponseSent
+        || !m_listener->endLog().allow(m_listener->now()))
         return;
     LogEvent(LogLevel::Info, "connection_ended")
         .field("listener", m_listener->settings().name)
@@ -391,7 +420,8 @@
         .field("phase_ms", (m_listener->now() - m_since).count() / 1000)
         .field("request", m_requestId)
         .field("unread_bytes", unreadBytes())
-        .field("responses_before", m_responses);
+        .field("responses_before", m_responses)
+        .field("not_logged", m_listener->endLog().takeSuppressed());
 }
 
 } // namespace Bluebellquay
--- a/source/net/httpsession.h
+++ b/source/net/httpsession.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Bluebellquay {
 
@@ -28,6 +29,7 @@
         : m_listener(std::move(listener))
         , m_socket(std::move(socket))
         , m_since(m_listener->now())
+        , m_progressAt(m_since)
     {
         boost::system::error_code ignored;
         m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -37,6 +39,7 @@
         recordEnd(ConnectionEnd::SessionDropped);
         settle();
         m_listener->remove(this);
+        m_listener->setUnfinished(*this, 0);
     }
 
     void read();
@@ -52,6 +55,20 @@
     bool busy();
     void closeIfIdle();
 
+    // A request has begun and is not whole.
+    bool unfinished() const { return m_phase == Phase::Reading; }
+    // Nothing is lost for the client but a request that is not whole, or a connection.
+    bool expendable() const
+    {
+        return m_phase == Phase::Idle || m_phase == Phase::Reading || m_phase == Phase::Draining;
+    }
+    // When the present phase began, or something was read in it last.
+    TimePoint progressAt() const { return m_progressAt; }
+    // Sets what the listener counts for the unfinished request, and returns what it counted before.
+    std::size_t chargeUnfinished(std::size_t bytes) { return std::exchange(m_charged, bytes); }
+    // Refuses an unfinished request, and frees its memory.
+    void refuseForMemory();
+
 private:
     enum class Phase { Idle, Reading, Handling, Writing, Draining, Closed };
 
@@ -83,6 +100,8 @@
     // Counts the end of the connection, and logs it if a request had begun. The first one counts.
     void recordEnd(ConnectionEnd end);
     bool requestBegun() const;
+    // Memory that the unfinished request takes.
+    std::size_t unfinishedBytes() const;
     // How long the present phase may last; no limit while a handler works.
     Duration timeLimit() const;
     // Bytes that have arrived and are not read yet.
@@ -98,6 +117,11 @@
     Phase m_phase = Phase::Idle;
     // Start of the present phase.
     TimePoint m_since;
+    TimePoint m_progressAt;
+    // Bytes that were read of the request so far.
+    std::size_t m_readBytes = 0;
+    // What the listener counts for the unfinished request.
+    std::size_t m_charged = 0;
     bool m_keepAlive = true;
     bool m_exchangeOpen = false;
     // Number of the request in progress, or of the last one.
--- a/source/net/linkend.h
+++ b/source/net/linkend.h
@@ -25,11 +25,12 @@
     Replaced,  // a newer link to the same incarnation is up
     Duplicate, // an existing link to the same incarnation is newer
     UnsentLimit,
-    Restarted, // the peer has started since the connection was begun
+    StrangersLimit, // too many accepted connections have not introduced themselves
+    Restarted,      // the peer has started since the connection was begun
     Forgotten,
     Stopping,
 };
-constexpr std::size_t LinkEnds = 19;
+constexpr std::size_t LinkEnds = 20;
 
 // Snake-case name as used in logs and metric labels, for example "handshake_timeout".
 std::string_view toString(LinkEnd end);
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -32,7 +32,7 @@
                         m_io, {m_settings.endpoint, m_settings.secret, m_settings.maxFrameBytes},
                         [this](std::shared_ptr<WebSocketConnection> connection) {
                             if (!m_stopping)
-                                adopt(std::move(connection), {});
+                                accepted(std::move(connection));
                         }));
     m_transport = std::move(transport);
     return {};
@@ -53,6 +53,22 @@
     return link;
 }
 
+void PeerLinks::accepted(std::shared_ptr<WebSocketConnection> connection)
+{
+    std::size_t strangers = 0;
+    std::shared_ptr<PeerLink> oldest;
+    for (const auto &link : m_links) {
+        if (link->dialed() || link->peer())
+            continue;
+        ++strangers;
+        if (!oldest || link->openedAt() < oldest->openedAt())
+            oldest = link;
+    }
+    if (strangers >= m_settings.maxStrangers)
+        oldest->fail(LinkEnd::StrangersLimit);
+    adopt(std::move(connection), {});
+}
+
 void PeerLinks::dial(const std::string &address)
 {
     if (m_stopping)
--- a/source/net/peerlinks.h
+++ b/source/net/peerlinks.h
@@ -66,6 +66,7 @@
     void flushWanted(PeerLink &link) override;
     Heartbeat heartbeat() override;
 
+    void accepted(std::shared_ptr<WebSocketConnection> connection);
     std::shared_ptr<PeerLink> adopt(std::shared_ptr<WebSocketConnection> connection,
                                     std::string dialedAddress);
     // The target that this link serves, or null.
--- a/source/net/peernode.h
+++ b/source/net/peernode.h
@@ -44,6 +44,9 @@
     std::size_t maxFrameBytes = 8UL << 20;
     // A link whose unsent bytes exceed this is abandoned: its peer does not read.
     std::size_t maxUnsentBytes = 64UL << 20;
+    // Accepted connections whose peer has not introduced itself. Beyond this, the oldest one is
+    // dropped for each new one.
+    std::size_t maxStrangers = 512;
 };
 
 // Called on the thread of the io_context.
--- a/tests/platform/httptest.cpp
+++ b/tests/platform/httptest.cpp
@@ -444,3 +444,111 @@
     until([&] { return server->idle(); });
     CHECK(server->connectionEnds().count(ConnectionEnd::ServerClosed) == 1);
 }
+
+// Guards against a process that runs out of memory: the parser takes these only when they are
+// whole.
+TEST_CASE_METHOD(HttpFixture, "trailers and chunk lines without end are refused")
+{
+    HttpServerSettings settings;
+    settings.maxHeaderBytes = 4'000;
+    serve(settings);
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2";
+    const std::string line = "X-Trailer: " + std::string(500, 'x') + "\r\n";
+    const std::string begun = GENERATE(as<std::string>(), "\r\n{}\r\n0\r\n", ";");
+    PiecewiseCaller caller(endpoint);
+    caller.send(head + begun);
+    for (int i = 0; i < 20; ++i)
+        caller.send(begun == ";" ? std::string(500, 'x') : line);
+    until([&] { return caller.answered(431); });
+    CHECK(requests.empty());
+    CHECK(server->unfinishedBytes() == 0);
+}
+
+// Guards against many bodies of legal size at once: those that stand still go first, and a request
+// that is whole is never dropped for them.
+TEST_CASE_METHOD(HttpFixture, "unfinished requests beyond the memory for them are refused")
+{
+    answerAtOnce = false;
+    HttpServerSettings settings;
+    settings.maxUnfinishedBytes = 40'000;
+    serve(settings);
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n";
+    PiecewiseCaller whole(endpoint);
+    whole.send(head + std::string(900, 'y'));
+    until([&] { return requests.size() == 1; });
+    std::vector<std::unique_ptr<PiecewiseCaller>> callers;
+    for (int i = 0; i < 30; ++i) {
+        callers.push_back(std::make_unique<PiecewiseCaller>(endpoint));
+        callers.back()->send(head + std::string(890, 'y'));
+        pass(2ms);
+    }
+    until([&] { return callers.front()->answered(503); });
+    CHECK(server->connectionEnds().count(ConnectionEnd::MemoryLimit) > 0);
+    CHECK(server->unfinishedBytes() <= settings.maxUnfinishedBytes);
+    CHECK(server->unfinishedBytes() > 0);
+    // The latest one is still read to its end.
+    callers.back()->send(std::string(10, 'y'));
+    until([&] { return requests.size() == 2; });
+    for (const auto &exchange : open)
+        exchange->respond({200, "{}", {}});
+    until([&] { return whole.answered(200) && callers.back()->answered(200); });
+}
+
+TEST_CASE_METHOD(HttpFixture, "too many connections cost the one without progress for longest")
+{
+    answerAtOnce = false;
+    HttpServerSettings settings;
+    settings.maxConnections = 3;
+    serve(settings);
+    PiecewiseCaller whole(endpoint);
+    whole.send(SmallRequest);
+    until([&] { return requests.size() == 1; });
+    PiecewiseCaller idle(endpoint);
+    pass(5ms);
+    PiecewiseCaller begun(endpoint);
+    begun.send(SmallRequest.substr(0, 10));
+    pass(5ms);
+    PiecewiseCaller late(endpoint);
+    late.send(SmallRequest);
+    until([&] { return requests.size() == 2; });
+    until([&] {
+        idle.received();
+        return idle.ended();
+    });
+    CHECK(server->connectionEnds().count(ConnectionEnd::ConnectionLimit) == 1);
+    begun.send(SmallRequest.substr(10));
+    until([&] { return requests.size() == 3; });
+    // All requests are whole: there is nobody to take a place from.
+    PiecewiseCaller another(endpoint);
+    until([&] {
+        another.received();
+        return another.ended();
+    });
+    for (const auto &exchange : open)
+        exchange->respond({200, "{}", {}});
+    until([&] { return whole.answered(200) && late.answered(200) && begun.answered(200); });
+}
+
+// Guards against a worker or a store whose reply does not end.
+TEST_CASE_METHOD(HttpFixture, "a reply with trailers without end is given up")
+{
+    boost::asio::io_context peerContext;
+    Tcp::acceptor acceptor(peerContext, {boost::asio::ip::address_v4::loopback(), 0});
+    std::thread peer([&] {
+        Tcp::socket socket = acceptor.accept();
+        boost::system::error_code error;
+        boost::asio::write(
+            socket,
+            boost::asio::buffer(std::string_view(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n")),
+            error);
+        const std::string line = "X-Trailer: " + std::string(1'000, 'x') + "\r\n";
+        while (!error)
+            boost::asio::write(socket, boost::asio::buffer(line), error);
+    });
+    client.emplace(context, timers, acceptor.local_endpoint());
+    const HttpReply reply = call({"GET", "/", {}, {}, 60s});
+    CHECK(reply.end == HttpCallEnd::NoAnswer);
+    client.reset();
+    peer.join();
+}
--- a/tests/platform/platformsettingstest.cpp
+++ b/tests/platform/platformsettingstest.cpp
@@ -36,6 +36,8 @@
                                                        {"bounds.farX", "1.5"},
                                                        {"/bounds.farX", ""},
                                                        {"orders", "invocation"},
+                                                       {"limits.memoryMb", "260"},
+                                                       {"limits.maxFds", "4100"},
                                                        {"listenAddrs.front", "10.1.0.13:8161"},
                                                        {"listenAddrs.ready", "10.1.0.13:8167"},
                                                        {"listenAddrs.control", "10.1.0.13:8166"}};
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -21,8 +21,10 @@
 
 } // namespace
 
-SoakSite::SoakSite(std::string folder, std::uint64_t seed, std::size_t entries, std::size_t agents)
+SoakSite::SoakSite(std::string folder, std::uint64_t seed, std::size_t entries, std::size_t agents,
+                   std::string extraSettings)
     : m_folder(std::move(folder))
+    , m_extraSettings(std::move(extraSettings))
     , m_seed(seed)
     , m_timers(m_context)
     , m_events(m_folder + "/events.log")
@@ -78,7 +80,8 @@
         << "metrics_listen = \"127.0.0.1:0\"\npeer_realm = \"soak\"\nstore_address = \"127.0.0.1:"
         << m_store.port() << "\"\n"
         << "longest_lease_ms = 1000\nstop_duration_ms = 50\nresubmission_ms = 1300\n"
-           "stop_grace_s = 6\n";
+           "stop_grace_s = 6\n"
+        << m_extraSettings;
     processes.push_back(std::move(process));
     return *processes.back();
 }
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -45,8 +45,9 @@
 class SoakSite
 {
 public:
-    // The folder takes settings and logs.
-    SoakSite(std::string folder, std::uint64_t seed, std::size_t entries, std::size_t agents);
+    // The folder takes settings and logs. Extra settings are added to those of each process.
+    SoakSite(std::string folder, std::uint64_t seed, std::size_t entries, std::size_t agents,
+             std::string extraSettings = {});
 
     boost::asio::io_context &context() { return m_context; }
     TimerService &timers() { return m_timers; }
@@ -79,6 +80,7 @@
     std::unique_ptr<PlatformWorker> makeWorker(std::size_t agent);
 
     std::string m_folder;
+    std::string m_extraSettings;
     std::uint64_t m_seed;
     boost::asio::io_context m_context;
     TimerService m_timers;
