--- a/source/core/capacityreporter.h
+++ b/source/core/capacityreporter.h
@@ -58,6 +58,8 @@
     template <typename HeldBy>
     void updateUse(TimePoint now, const HeldBy &heldBy)
     {
+        if (!m_lendRoom)
+            return;
         for (const auto &[incarnation, home] : m_homes)
             m_shares.holds(now, incarnation, heldBy(incarnation));
     }
--- a/source/kernel/logthrottle.h
+++ b/source/kernel/logthrottle.h
@@ -1,4 +1,4 @@
-// Bounds the log lines of an event that strangers can cause as often as they like.
+// Bounds the log lines of an event that clients can cause as often as they like.
 #pragma once
 
 #include "base/coretime.h"
--- a/source/net/linkend.cpp
+++ b/source/net/linkend.cpp
@@ -9,7 +9,7 @@
     "frame_too_large", "peer_closed",      "lost",         "handshake_timeout",
     "silent",          "frame_rejected",   "sequence_gap", "no_hello",
     "self_link",       "replaced",         "duplicate",    "unsent_limit",
-    "strangers_limit", "restarted",        "forgotten",    "stopping",
+    "handshake_limit", "restarted",        "forgotten",    "stopping",
 };
 static_assert(std::size(Names) == LinkEnds);
 static_assert(LinkEnds == static_cast<std::size_t>(LinkEnd::Stopping) + 1);
--- a/source/net/linkend.h
+++ b/source/net/linkend.h
@@ -25,7 +25,7 @@
     Replaced,  // a newer link to the same incarnation is up
     Duplicate, // an existing link to the same incarnation is newer
     UnsentLimit,
-    StrangersLimit, // too many accepted connections have not introduced themselves
+    HandshakeLimit, // too many accepted connections have not introduced themselves
     Restarted,      // the peer has started since the connection was begun
     Forgotten,
     Stopping,
--- a/source/net/peerlinks.cpp
+++ b/source/net/peerlinks.cpp
@@ -55,17 +55,17 @@
 
 void PeerLinks::accepted(std::shared_ptr<WebSocketConnection> connection)
 {
-    std::size_t strangers = 0;
+    std::size_t pending = 0;
     std::shared_ptr<PeerLink> oldest;
     for (const auto &link : m_links) {
         if (link->dialed() || link->peer())
             continue;
-        ++strangers;
+        ++pending;
         if (!oldest || link->openedAt() < oldest->openedAt())
             oldest = link;
     }
-    if (strangers >= m_settings.maxStrangers)
-        oldest->fail(LinkEnd::StrangersLimit);
+    if (pending >= m_settings.maxPendingHandshakes)
+        oldest->fail(LinkEnd::HandshakeLimit);
     adopt(std::move(connection), {});
 }
 
--- a/source/net/peernode.h
+++ b/source/net/peernode.h
@@ -46,7 +46,7 @@
     std::size_t maxUnsentBytes = 64UL << 20;
     // Accepted connections whose peer has not introduced itself. Beyond this, the oldest one is
     // dropped for each new one.
-    std::size_t maxStrangers = 512;
+    std::size_t maxPendingHandshakes = 512;
 };
 
 // Called on the thread of the io_context.
--- a/tests/crowd/crowdtest.cpp
+++ b/tests/crowd/crowdtest.cpp
@@ -187,7 +187,7 @@
     play(entry(), front(), IdleClients, {});
 }
 
-TEST_CASE_METHOD(CrowdFixture, "an entry bears strangers on its listener for peers")
+TEST_CASE_METHOD(CrowdFixture, "an entry bears unfinished handshakes on its listener for peers")
 {
     play(entry(), peers(), IdleClients, {"GET / HTTP/1.1\r\nHost: a\r\n", {}, 0});
 }
