Leave the limits out of settings where the platform names none

Change: sections that are left out without a value, as far_factor's. Result: the templates have no findings with limits (tests/platform).

--- a/tests/platform/platformsettingstest.cpp
+++ b/tests/platform/platformsettingstest.cpp
@@ -36,8 +36,12 @@
                                                        {"bounds.farX", "1.5"},
                                                        {"/bounds.farX", ""},
                                                        {"orders", "invocation"},
+                                                       {"#limits.memoryMb", ""},
                                                        {"limits.memoryMb", "260"},
+                                                       {"/limits.memoryMb", ""},
+                                                       {"#limits.maxFds", ""},
                                                        {"limits.maxFds", "4100"},
+                                                       {"/limits.maxFds", ""},
                                                        {"listenAddrs.front", "10.1.0.13:8161"},
                                                        {"listenAddrs.ready", "10.1.0.13:8167"},
                                                        {"listenAddrs.control", "10.1.0.13:8166"}};
