--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The stand-ins of review/11 to review/15 are Python programs and need no build; checks that they can be read.
+# The stand-ins of this review are Python programs and need no build; checks that they can be read.
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -B - standins-3/*.py 1[1-5]/*.py <<'CHECK'
