review: after some seconds of a silent store no entry learns of a new configuration for up to 22 s

Breaks CONFIG. All entries make their long poll at the same moment; one that the silent store never answers is given 22 s, also when the store is back. A change that the store acknowledges 4 s after the outage comes into force 13 to 17 s later; dropped routes are run, new ones answered 404.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -107,6 +107,14 @@
         self.tables = {}
         self.changed = asyncio.Event()
         self.server = Server(self.handle)
+        self.silent = False
+
+    async def handle(self, method, target, headers, body):
+        """While the store is silent it answers no call, also not later."""
+        answer = None if self.silent else await self.serve(method, target, body)
+        if answer is None or self.silent:
+            await asyncio.Event().wait()
+        return answer
 
     def put(self, table, key, value):
         self.version += 1
@@ -123,7 +131,7 @@
         body = {"rows": rows, "ver": self.version, "hasMore": False, "nowMs": int(time.monotonic() * 1000)}
         return 200, json.dumps(body).encode()
 
-    async def handle(self, method, target, headers, body):
+    async def serve(self, method, target, body):
         path, _, query = target.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&") if part)
         await asyncio.sleep(0.004)
@@ -459,10 +467,7 @@
         self.store = Store()
         store_ip = "127.60.0.1"
         self.store_address = f"{store_ip}:{await self.store.server.listen(store_ip)}"
-        route = {"name": "r-1", "host": "a.example", "pathPrefix": "/x/", "type": "unsafe", "timeoutMs": 15000,
-                 "objectiveMs": 60, "priority": 1, "service": "archive", "maxAttempts": 3, "slackFactor": 1.6}
-        config = {"version": 3, "routes": [route], "services": [{"name": "archive"}], "limits": {}}
-        self.store.put("op", "config", json.dumps(config).encode())
+        self.configure(3, ["/x/"])
         for zone in self.zones:
             self.entries.append(Machine(self, "entry", 1, zone))
         for number in range(self.agent_count):
@@ -482,6 +487,16 @@
         await asyncio.sleep(3)
         self.record.note("all entries are ready")
 
+    def configure(self, version, prefixes):
+        """The operator writes a configuration with these routes; the store has acknowledged it on return."""
+        routes = [{"name": f"r-{prefix.strip('/')}", "host": "a.example", "pathPrefix": prefix, "type": "unsafe",
+                   "timeoutMs": 15000, "objectiveMs": 60, "priority": 1, "service": "archive", "maxAttempts": 3,
+                   "slackFactor": 1.6} for prefix in prefixes]
+        config = {"version": version, "routes": routes, "services": [{"name": "archive"}], "limits": {}}
+        self.store.put("op", "config", json.dumps(config).encode())
+        self.record.note(f"configuration {version} is acknowledged: routes {' '.join(prefixes)}")
+        return self.record.now()
+
     async def until_ready(self, entry, seconds=10):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -522,7 +537,7 @@
             if writer:
                 writer.transport.abort()
 
-    async def submit(self, entry, key, steps, deadline_ms, label=""):
+    async def submit(self, entry, key, steps, deadline_ms, label="", prefix="/x/"):
         """Hands a job in and waits for its end: the status, or 0 if there was no answer. Each step is the
         number of its tasks and their time in milliseconds, the same for all, and follows the one before."""
         milliseconds = steps[0][1]
@@ -534,14 +549,14 @@
             if label:
                 step["requirements"] = label
             body["steps"].append(step)
-        self.record.note(f"POST {key} at {entry.name}")
+        self.record.note(f"POST {prefix}{key} at {entry.name}")
         try:
-            status, text = await self.call(entry.front, "POST", "/x/" + key, json.dumps(body).encode(),
+            status, text = await self.call(entry.front, "POST", prefix + key, json.dumps(body).encode(),
                                            [("X-Bluebellquay-Deadline-Ms", deadline_ms)], deadline_ms / 1000 + 1)
         except OSError as error:
-            self.record.note(f"POST {key} at {entry.name}: {error or 'refused'}")
+            self.record.note(f"POST {prefix}{key} at {entry.name}: {error or 'refused'}")
             return 0
-        self.record.note(f"POST {key} at {entry.name}: {status} {text}")
+        self.record.note(f"POST {prefix}{key} at {entry.name}: {status} {text}")
         return status
 
     async def submit_until_answered(self, entries, key, steps, deadline_ms):
@@ -554,21 +569,6 @@
             await asyncio.sleep(BOUNDS["retransmitMs"] / 1000)
         return 0
 
-    async def cancel(self, entry, key, seconds=4.0):
-        """Sends DELETE until it is acknowledged with a 2xx or 410: the time of the acknowledgement."""
-        end = time.monotonic() + seconds
-        self.record.note(f"DELETE {key} at {entry.name}")
-        while time.monotonic() < end:
-            try:
-                status, text = await self.call(entry.front, "DELETE", "/x/" + key, timeout=2)
-                self.record.note(f"DELETE {key} at {entry.name}: {status} {text}")
-                if status == 410 or 200 <= status < 300:
-                    return self.record.now()
-            except OSError:
-                pass
-            await asyncio.sleep(0.02)
-        return None
-
     def worker_of(self, task):
         """The number of the agent on whose worker the task runs, or None."""
         names = [worker for worker, run in self.judge.running.get(task, {})]
@@ -583,19 +583,6 @@
         raise RuntimeError(task + " does not run")
 
 
-async def unasked(site, key, acknowledged, disturbed=()):
-    """The rule UNASKED after an acknowledged cancel: a machine in touch starts a task later than cancel_ms after it.
-    Starts on the workers of disturbed machines don't count."""
-    bound = acknowledged + BOUNDS["cancel_ms"] / 1000
-    await asyncio.sleep(max(0, bound + 2 - site.record.now()))
-    late = [start for start in site.judge.starts
-            if start[1].startswith(key + ".") and start[0] > bound and start[2] not in disturbed]
-    for at, task, worker in late:
-        site.record.note(f"broken: {task} was started on {worker} at {at:.3f}, {at - acknowledged:.3f} s after the "
-                         f"acknowledgement")
-    return BROKEN if late else HELD
-
-
 def play(case_folder, scenario, **arguments):
     """Plays the scenario on a site; ends all processes; exits with its result."""
 
