Start runs only under a lease that ends within their limit

Cause: the limit of a lease covers the runs that the agent knows when it asks for it. An order that the network has held back past the death of its home starts under the lease that is there, and a lease never shortens.

A run now begins only if no lease that the worker may have outlasts its limit; else the order waits for the next contact to its home, for 250 ms at most, and limits the renewals as a run does. So the lease runs down to the limit if the home lives, and nothing starts if it doesn't.

"a worker that runs nothing has no limit of its lease" asked that an order that waits does not limit the lease, which is a part of the fault: it may begin under that lease. The case is replaced by "a run that waits limits the lease as one that has started", with the exact limit.

--- a/source/core/runsupervisor.cpp
+++ b/source/core/runsupervisor.cpp
@@ -30,7 +30,7 @@
     const TrackedRuns::Waiting &waiting = m_runs.waiting();
     for (auto position = waiting.begin(); position != waiting.end() && looked < LookAhead;) {
         const auto run = m_runs.find((position++)->second);
-        if (m_runs.anotherStarted(run->first))
+        if (m_runs.anotherStarted(run->first) || !leaseAllowsStart(run->second))
             continue;
         if (!m_runs.fits(run->second, room)) {
             ++looked;
--- a/source/core/runsupervisor.h
+++ b/source/core/runsupervisor.h
@@ -5,6 +5,7 @@
 
 #include "core/endevidence.h"
 #include "core/homecontacts.h"
+#include "core/leaselimit.h"
 #include "core/retainedends.h"
 #include "core/runcalls.h"
 #include "core/runoutbox.h"
@@ -47,12 +48,25 @@
     RunSupervisor(RunTrackerSettings settings, const HomeContacts &contacts)
         : m_settings(settings)
         , m_contacts(contacts)
+        , m_leaseLimit(settings.runsOverAfter, contacts)
     { }
 
+    // No lease that the worker may have lasts longer.
+    void setLeaseEnd(TimePoint latest) { m_leaseEnd = latest; }
+    TimePoint leaseEnd() const { return m_leaseEnd; }
+    const LeaseLimit &leaseLimit() const { return m_leaseLimit; }
+    // Whether the lease that the worker may have ends within the limit of this waiting run. Else
+    // the run waits for a later contact to its home.
+    bool leaseAllowsStart(const TrackedRun &run) const
+    {
+        return m_leaseLimit.allowsStart(run, m_leaseEnd);
+    }
+
     // Adds a run that waits for capacity.
     void addWaiting(TimePoint now, Incarnation home, const StartRuns &message,
                     const RunOrder &order);
-    // Starts the waiting runs that fit into this total capacity, in their order.
+    // Starts the waiting runs that fit into this total capacity and whose limit the lease keeps, in
+    // their order.
     void startWaiting(TimePoint now, const ResourceNeed &room, RunOutbox &out);
     // The run still waits: nothing of it was sent to the worker.
     void returnOrder(TimePoint now, TrackedRuns::Runs::iterator position, RunOutbox &out);
@@ -117,6 +131,8 @@
 
     RunTrackerSettings m_settings;
     const HomeContacts &m_contacts;
+    LeaseLimit m_leaseLimit;
+    TimePoint m_leaseEnd{};
     RunTrackerStatistics m_statistics;
     std::string m_workerName;
     // When the latest listing was requested.
--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -9,7 +9,6 @@
     : m_contacts(settings.homeInTouchFor)
     , m_supervisor(settings, m_contacts)
     , m_reports(settings.lendRoom)
-    , m_leaseLimit(settings.runsOverAfter, m_contacts)
 { }
 
 void RunTracker::workerAnnounced(TimePoint now, const WorkerProfile &profile, RunOutbox &out)
@@ -116,10 +115,14 @@
 
 void RunTracker::homeAlive(TimePoint now, Incarnation home, TimePoint at, RunOutbox &out)
 {
-    if (!m_contacts.alive(now, home, at))
-        return;
-    m_reports.setInTouch(home, true);
-    reportRooms(now, out);
+    const bool back = m_contacts.alive(now, home, at);
+    if (back)
+        m_reports.setInTouch(home, true);
+    const bool ordersWait = !tracked().waiting().empty();
+    if (ordersWait)
+        startWaiting(now, out);
+    if (back || ordersWait)
+        reportRooms(now, out);
 }
 
 bool RunTracker::loseHomes(TimePoint now, RunOutbox &out)
@@ -213,9 +216,7 @@
         const auto position = m_supervisor.runs().find(key);
         if (!tracked().heldFor(home, key) || position->second.state != RunState::Waiting)
             continue;
-        // Its home would order the task elsewhere at once, beside the run that is still here.
-        const bool patient = order.mayWait || tracked().anotherStarted(key);
-        if (keepPatient && patient)
+        if (keepPatient && mayStay(now, order, key, position->second))
             continue;
         if (keepPatient && accepting(now))
             m_reports.orderReturned(now, home, claimOf(now, message, order));
@@ -223,6 +224,24 @@
     }
 }
 
+bool RunTracker::mayStay(TimePoint now, const RunOrder &order, const RunKey &key,
+                         const TrackedRun &run)
+{
+    if (waitsForContact(run)) {
+        ++m_supervisor.statistics().ordersAwaitingContact;
+        logOrderAwaitsContact(key, run.home, now - *m_contacts.latest(run.home),
+                              m_supervisor.leaseEnd() - now);
+        return true;
+    }
+    // Its home would order the task elsewhere at once, beside the run that is still here.
+    return order.mayWait || tracked().anotherStarted(key);
+}
+
+bool RunTracker::waitsForContact(const TrackedRun &run) const
+{
+    return m_worker && tracked().fits(run, m_worker->room) && !m_supervisor.leaseAllowsStart(run);
+}
+
 void RunTracker::handle(TimePoint now, Incarnation home, const StopRuns &message, RunOutbox &out)
 {
     for (const RunKey &key : message.runs) {
--- a/source/core/runtracker.h
+++ b/source/core/runtracker.h
@@ -13,7 +13,6 @@
 #include "base/messages.h"
 #include "core/capacityreporter.h"
 #include "core/homecontacts.h"
-#include "core/leaselimit.h"
 #include "core/runoutbox.h"
 #include "core/runsupervisor.h"
 #include "core/workercalls.h"
@@ -99,7 +98,10 @@
     // full lease after the death of this agent, when their home no longer expects them to run.
     bool mayRenewLease() const { return m_mayRenewLease; }
     // A lease must not last longer. Nothing if no run limits it.
-    std::optional<TimePoint> leaseLimit() const { return m_leaseLimit.of(tracked()); }
+    std::optional<TimePoint> leaseLimit() const { return m_supervisor.leaseLimit().of(tracked()); }
+    // No lease that the worker may have lasts longer. To be told before each other call that may
+    // start a run, since a run begins only under a lease that ends within its limit.
+    void setLeaseEnd(TimePoint latest) { m_supervisor.setLeaseEnd(latest); }
     const RunTrackerStatistics &statistics() const { return m_supervisor.statistics(); }
     // Capacity that neither started runs nor waiting orders take; for metrics and tests.
     ResourceNeed freeRoom() const;
@@ -110,12 +112,17 @@
     void startWaiting(TimePoint now, RunOutbox &out);
     // Stops the runs of homes that have gone out of touch. Returns whether there are any.
     bool loseHomes(TimePoint now, RunOutbox &out);
-    // Returns the orders of the message that still wait. With keepPatient, those stay whose home
-    // lets them wait, or whose task has another run here.
+    // Returns the orders of the message that still wait. With keepPatient, those stay that may.
     void returnOrders(TimePoint now, Incarnation home, const StartRuns &message, bool keepPatient,
                       RunOutbox &out);
+    // Whether an order that can't start yet may stay: its home lets it wait, its task has another
+    // run here, or it waits for a contact.
+    bool mayStay(TimePoint now, const RunOrder &order, const RunKey &key, const TrackedRun &run);
     static RoomClaim claimOf(TimePoint now, const StartRuns &message, const RunOrder &order);
     bool anyStarted(const StartRuns &message) const;
+    // The order could start but for the lease: it waits for a contact to its home, which comes
+    // within a round trip if the home is alive.
+    bool waitsForContact(const TrackedRun &run) const;
     static void refuseOrders(Incarnation home, const StartRuns &message, RunOutbox &out);
     // An order under a number that is in use or was used lately: nothing is started for it.
     void answerKnownOrder(Incarnation home, const RunKey &key, RunOutbox &out) const;
@@ -141,7 +148,6 @@
     HomeContacts m_contacts;
     RunSupervisor m_supervisor;
     CapacityReporter m_reports;
-    LeaseLimit m_leaseLimit;
 };
 
 } // namespace Bluebellquay
--- a/source/core/runtrackerstatistics.h
+++ b/source/core/runtrackerstatistics.h
@@ -15,6 +15,8 @@
     std::uint64_t ordersReceived = 0;
     std::uint64_t ordersReturned = 0;
     std::uint64_t ordersEvacuated = 0;
+    // Orders that had room, but not a contact to their home as recent as the lease asks for.
+    std::uint64_t ordersAwaitingContact = 0;
     std::uint64_t started = 0;
     std::uint64_t homesOutOfTouch = 0;
     std::uint64_t workerRefusals = 0;
--- a/source/core/trackerlog.cpp
+++ b/source/core/trackerlog.cpp
@@ -40,6 +40,19 @@
         .field("runs", runs);
 }
 
+void logOrderAwaitsContact(const RunKey &run, Incarnation home, Duration sinceContact,
+                           Duration leaseLeft)
+{
+    LogEvent(LogLevel::Info, "order_awaits_contact")
+        .field("job", jobKeyText(run.job))
+        .field("step", run.step)
+        .field("task", run.index)
+        .field("run", run.run.value())
+        .field("home", toString(home))
+        .field("contact_ms_ago", sinceContact / OneMillisecond)
+        .field("lease_left_ms", leaseLeft / OneMillisecond);
+}
+
 void logRunEnd(std::string_view worker, const EndedRun &ended, EndEvidence evidence)
 {
     LogEvent(LogLevel::Info, "run_end_inferred")
--- a/source/core/trackerlog.h
+++ b/source/core/trackerlog.h
@@ -24,6 +24,11 @@
 // A home has shown no sign of life for this long; its runs are stopped.
 void logHomeOutOfTouch(Incarnation home, Duration since, std::size_t runs);
 
+// An order waits for a contact to its home: the lease that the worker may have would last too long
+// for its run.
+void logOrderAwaitsContact(const RunKey &run, Incarnation home, Duration sinceContact,
+                           Duration leaseLeft);
+
 // A started run has ended by other evidence than a listed end.
 void logRunEnd(std::string_view worker, const EndedRun &ended, EndEvidence evidence);
 
--- a/tests/dispatch/homedeathtest.cpp
+++ b/tests/dispatch/homedeathtest.cpp
@@ -1,6 +1,7 @@
-// Plays, in virtual time, the death of a home whose last words reach its agent late, because the
-// agent stands still or the network holds them back, and an agent that stands still again soon
-// after. The run of the home must be over when the caller submits its job again.
+// Plays, in virtual time, the death of a home whose last words, the order of a run among them,
+// reach its agent late, because the agent stands still or the network holds them back, and an agent
+// that stands still again soon after. The run of the home must be over when the caller submits its
+// job again.
 #include "core/runtracker.h"
 #include "dispatch/trackerfixture.h"
 
@@ -10,6 +11,8 @@
 #include <chrono>
 #include <deque>
 #include <optional>
+#include <sstream>
+#include <string>
 
 using namespace Bluebellquay;
 using namespace Bluebellquay::Testing;
@@ -40,6 +43,12 @@
 // How an agent counts the answer of a home that it reads.
 enum class Counting { FromQuestion, FromReading };
 
+// When the home sends its order.
+enum class Order { LongBefore, JustBeforeDeath };
+
+// Whether an agent compares the lease of its worker with the limit of a run before it starts it.
+enum class LeaseCheck { On, Off };
+
 struct Play
 {
     Freeze first;
@@ -49,6 +58,8 @@
     // No end of the connection arrives.
     bool silentEnd = false;
     Counting counting = Counting::FromQuestion;
+    Order order = Order::LongBefore;
+    LeaseCheck leaseCheck = LeaseCheck::On;
 };
 
 class DyingHome : private TrackerFixture
@@ -60,7 +71,8 @@
         now = Death - 2s;
         m_heard = m_nextPing = m_nextRenewal = m_lease = now;
         tracker.homeAlive(now, Home, now, out);
-        run(0, 20'000);
+        if (m_play.order == Order::LongBefore)
+            run(0, 20'000);
         clear();
     }
 
@@ -73,6 +85,8 @@
         }
         return std::min(m_lease, m_stoppedAt.value_or(m_lease)) - Death;
     }
+    // Whether the run was started.
+    bool started() const { return m_play.order == Order::LongBefore || m_started; }
 
 private:
     struct Answer
@@ -96,11 +110,18 @@
     }
     void wakeAgent()
     {
+        if (m_play.leaseCheck == LeaseCheck::On)
+            tracker.setLeaseEnd(m_lease);
         readAnswers();
+        readOrder();
         giveHomeUp();
         tracker.advance(now, out);
         ping();
+        // A start asks for a lease as well.
+        if (!out.starts.empty())
+            m_nextRenewal = now;
         renew();
+        m_started = m_started || !out.starts.empty();
         if (!out.stops.empty())
             m_stoppedAt = now + StopDuration;
         clear();
@@ -118,6 +139,14 @@
             tracker.homeAlive(now, Home, reading ? now : m_answers.front().askedAt, out);
         }
     }
+    void readOrder()
+    {
+        if (m_play.order == Order::LongBefore || m_orderRead || now < arrival(Death - Step))
+            return;
+        m_orderRead = true;
+        if (m_link)
+            run(0, 20'000);
+    }
     void giveHomeUp()
     {
         const bool ended = !m_play.silentEnd && now >= arrival(Death);
@@ -141,8 +170,8 @@
         if (now < m_nextRenewal)
             return;
         m_nextRenewal = now + RenewalInterval;
-        const auto limit = tracker.leaseLimit();
-        m_lease = std::max(m_lease, std::min(now + LongestLease, limit.value_or(now)));
+        const TimePoint longest = now + LongestLease;
+        m_lease = std::max(m_lease, std::min(longest, tracker.leaseLimit().value_or(longest)));
     }
 
     Play m_play;
@@ -154,19 +183,20 @@
     TimePoint m_nextRenewal;
     TimePoint m_lease;
     std::optional<TimePoint> m_stoppedAt;
+    bool m_orderRead = false;
+    bool m_started = false;
 };
 
 // Calls back with freezes of all lengths and at all times that matter: the second one begins while
 // the agent waits for the home to come back.
 template <typename Function>
-void forEachPlay(Counting counting, const Function &function)
+void forEachPlay(const Play &pattern, const Function &function)
 {
     for (const Duration heldBack : {0ms, 100ms, 250ms, 400ms, 590ms}) {
         for (Duration from = -600ms; from <= 50ms; from += 50ms) {
             for (Duration length = 0ms; length < Silence; length += 50ms) {
                 for (Duration gap = 5ms; gap <= 900ms; gap += gap < 100ms ? 15ms : 100ms) {
-                    Play play;
-                    play.counting = counting;
+                    Play play = pattern;
                     play.heldBack = heldBack;
                     play.first = {from, from + length};
                     const Duration second = std::max(play.first.to, Duration(0)) + gap;
@@ -180,6 +210,30 @@
     }
 }
 
+std::string describe(const Play &play, Duration over)
+{
+    std::ostringstream text;
+    text << "frozen from " << play.first.from.count() << " to " << play.first.to.count()
+         << " us and from " << play.second.from.count() << " us, held back "
+         << play.heldBack.count() << " us: over at " << over.count() << " us";
+    return text.str();
+}
+
+Play patternOf(Counting counting)
+{
+    Play pattern;
+    pattern.counting = counting;
+    return pattern;
+}
+
+Play lateOrder(LeaseCheck check)
+{
+    Play pattern;
+    pattern.order = Order::JustBeforeDeath;
+    pattern.leaseCheck = check;
+    return pattern;
+}
+
 } // namespace
 
 // Guards against two overlapping runs of a task: an agent took what a dead home had sent for a sign
@@ -187,15 +241,11 @@
 TEST_CASE("the run of a home that died is over before its job is submitted again")
 {
     Duration latest{0};
-    forEachPlay(Counting::FromQuestion, [&](const Play &play) {
+    forEachPlay(patternOf(Counting::FromQuestion), [&](const Play &play) {
         const Duration over = DyingHome(play).runOver();
         latest = std::max(latest, over);
-        if (over < Resubmission)
-            return;
-        FAIL_CHECK("frozen from " << play.first.from.count() << " to " << play.first.to.count()
-                                  << " us and from " << play.second.from.count()
-                                  << " us, held back " << play.heldBack.count() << " us: over at "
-                                  << over.count() << " us");
+        if (over >= Resubmission)
+            FAIL_CHECK(describe(play, over));
     });
     // Else no play has tried the limit of the lease.
     CHECK(latest > 1s);
@@ -205,8 +255,36 @@
 TEST_CASE("an agent that counts answers from their reading is found out")
 {
     std::size_t late = 0;
-    forEachPlay(Counting::FromReading, [&](const Play &play) {
+    forEachPlay(patternOf(Counting::FromReading), [&](const Play &play) {
         late += DyingHome(play).runOver() >= Resubmission ? 1 : 0;
     });
     CHECK(late > 0);
 }
+
+// Guards against two overlapping runs of a task: an order that the network had held back past the
+// death of its home started under a lease that was renewed before the order was known.
+TEST_CASE("the run of an order that arrives after its home has died is over in time, too")
+{
+    std::size_t started = 0;
+    forEachPlay(lateOrder(LeaseCheck::On), [&](const Play &play) {
+        DyingHome home(play);
+        const Duration over = home.runOver();
+        started += home.started() ? 1 : 0;
+        if (home.started() && over >= Resubmission)
+            FAIL_CHECK(describe(play, over));
+    });
+    // Else nothing was tried.
+    CHECK(started > 0);
+}
+
+// Shows that the check can fail.
+TEST_CASE("an agent that starts runs under any lease is found out")
+{
+    std::size_t late = 0;
+    forEachPlay(lateOrder(LeaseCheck::Off), [&](const Play &play) {
+        DyingHome home(play);
+        const Duration over = home.runOver();
+        late += home.started() && over >= Resubmission ? 1 : 0;
+    });
+    CHECK(late > 0);
+}
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -59,6 +59,8 @@
     std::unique_ptr<RunTracker> tracker;
     std::unique_ptr<EvacuationRelay> evacuations;
     std::unique_ptr<ModelWorker> worker;
+    // No lease that the agent has asked for lasts longer.
+    TimePoint leaseEnd{};
     std::uint64_t lastSeen = 0;
     std::uint64_t fencingToken = 0;
     // Until then, calls to the worker are renewed at short intervals because some were lost.
@@ -201,6 +203,8 @@
     agent.up = true;
     ++agent.life;
     agent.lastSeen = 0;
+    // Its earlier incarnation may have renewed the lease until now.
+    agent.leaseEnd = m_clock.now() + LongestLease;
     agent.fencingToken = agent.incarnation.value() * FencingTokensPerIncarnation;
     RunTrackerSettings settings;
     settings.lendRoom = m_settings.lendRoom;
@@ -227,12 +231,16 @@
         relinkLater(entry, index);
 }
 
-std::optional<Duration> KeyedSite::newLease(std::size_t agent) const
+std::optional<Duration> KeyedSite::newLease(std::size_t index)
 {
+    Agent &agent = *m_agents[index];
     Duration lease = LongestLease;
-    if (const auto limit = m_agents[agent]->tracker->leaseLimit())
+    if (const auto limit = agent.tracker->leaseLimit())
         lease = std::min(lease, *limit - m_clock.now());
-    return lease > Duration(0) ? std::optional(lease) : std::nullopt;
+    if (lease <= Duration(0))
+        return std::nullopt;
+    agent.leaseEnd = std::max(agent.leaseEnd, m_clock.now() + lease);
+    return lease;
 }
 
 void KeyedSite::hold(std::size_t index, std::uint64_t life, std::size_t slot)
@@ -336,6 +344,7 @@
         return;
     RunOutbox out;
     const std::uint64_t before = agent.tracker->statistics().suspensions;
+    agent.tracker->setLeaseEnd(agent.leaseEnd);
     call(*agent.tracker, out);
     agent.suspensions += agent.tracker->statistics().suspensions - before;
     const std::uint64_t life = agent.life;
--- a/tests/dispatch/keyedsite.h
+++ b/tests/dispatch/keyedsite.h
@@ -129,7 +129,7 @@
     // Renews leases and detects lost orders as platform/workerclient.cpp does.
     void hold(std::size_t index, std::uint64_t life, std::size_t slot);
     // The longest lease that the agent may ask for now; nothing if it may not renew any.
-    std::optional<Duration> newLease(std::size_t agent) const;
+    std::optional<Duration> newLease(std::size_t index);
     void reissueOvertaken(std::size_t index, std::size_t reporter);
     void look(std::size_t index, std::uint64_t life);
     // Number of the present or latest link; messages of an earlier one are lost.
--- a/tests/dispatch/leaselimittest.cpp
+++ b/tests/dispatch/leaselimittest.cpp
@@ -57,10 +57,38 @@
 TEST_CASE_METHOD(LeaseLimitFixture, "a worker that runs nothing has no limit of its lease")
 {
     CHECK_FALSE(limit.of(runs));
-    addWaiting(Home, 1);
+    runs.remove(runs.find(addWaiting(Home, 1)));
     CHECK_FALSE(limit.of(runs));
 }
 
+// Guards against two overlapping runs: a lease that is renewed while an order waits would outlast
+// the limit of the run when it starts.
+TEST_CASE_METHOD(LeaseLimitFixture, "a run that waits limits the lease as one that has started")
+{
+    addWaiting(Home, 1);
+    CHECK(limit.of(runs) == now + Span);
+    contacts.alive(now + 300ms, Home, now + 200ms);
+    CHECK(limit.of(runs) == now + 200ms + Span);
+}
+
+// Guards against two overlapping runs: the order of a home that has died meanwhile arrives late.
+TEST_CASE_METHOD(LeaseLimitFixture, "a run starts only under a lease that ends within its limit")
+{
+    const TrackedRun &run = runs.find(addWaiting(Home, 1))->second;
+    CHECK(limit.allowsStart(run, TimePoint()));
+    CHECK(limit.allowsStart(run, now + Span));
+    CHECK_FALSE(limit.allowsStart(run, now + Span + 1us));
+    contacts.alive(now + 300ms, Home, now + 1us);
+    CHECK(limit.allowsStart(run, now + Span + 1us));
+}
+
+TEST_CASE_METHOD(LeaseLimitFixture, "a run of a home that was never in contact does not start")
+{
+    contacts.homeUp(Incarnation(7));
+    const TrackedRun &run = runs.find(addWaiting(Incarnation(7), 1))->second;
+    CHECK_FALSE(limit.allowsStart(run, TimePoint()));
+}
+
 // Guards against two overlapping runs: an agent that freezes again and again would renew the lease
 // in between, and never read the stop of a home.
 TEST_CASE_METHOD(LeaseLimitFixture, "the home that was silent for longest limits the lease")
--- a/tests/dispatch/runtrackerhomestest.cpp
+++ b/tests/dispatch/runtrackerhomestest.cpp
@@ -170,6 +170,53 @@
     CHECK_FALSE(tracker.leaseLimit());
 }
 
+// Guards against two overlapping runs: the network has held an order back until after the death of
+// its home, and the worker has a lease that nobody limited for it.
+TEST_CASE_METHOD(TrackerFixture, "an order waits for a contact that the worker's lease asks for")
+{
+    const Duration span = RunTrackerSettings().runsOverAfter;
+    const TimePoint contact = now;
+    passInSilence(500ms);
+    tracker.setLeaseEnd(contact + span + 1us);
+    const bool mayWait = GENERATE(true, false);
+    order(0, 20'000, 1, mayWait);
+    CHECK(out.starts.empty());
+    CHECK(ends().empty());
+    // What is renewed meanwhile doesn't put the start off further.
+    CHECK(tracker.leaseLimit() == contact + span);
+    CHECK(tracker.statistics().ordersAwaitingContact == 1);
+    SECTION("the home lives")
+    {
+        tracker.homeAlive(now, Home, contact + 1us, out);
+        CHECK(out.starts.size() == 1);
+        CHECK(tracker.leaseLimit() == contact + 1us + span);
+    }
+    SECTION("the home is given up")
+    {
+        tracker.homeSilent(now, Home, out);
+        CHECK(onlyEnd().end == RunResult::NotStarted);
+    }
+    SECTION("no contact comes")
+    {
+        passInSilence(RunTrackerSettings().longestWait);
+        tracker.advance(now, out);
+        CHECK(out.starts.empty());
+        CHECK(onlyEnd().end == RunResult::NotStarted);
+        CHECK_FALSE(tracker.leaseLimit());
+    }
+}
+
+// Its home knows a worker with room at once; a contact would not help.
+TEST_CASE_METHOD(TrackerFixture, "an order without room does not wait for a contact")
+{
+    run(0, 50'000);
+    clear();
+    tracker.setLeaseEnd(now + RunTrackerSettings().runsOverAfter + 1us);
+    order(1, 20'000, 1, false);
+    CHECK(onlyEnd().end == RunResult::NotStarted);
+    CHECK(tracker.statistics().ordersAwaitingContact == 0);
+}
+
 // Guards against runs of one home that cost those of all others their lease, and against orders
 // that are carried out for a home that died while they lay unread.
 TEST_CASE_METHOD(TrackerFixture, "a home without contact has its runs stopped and gets no others")
