Bound how long a lost poll of the store goes unnoticed

Cause: a poll waited for 20 s and was given 22 s, also one that was sent while the store was silent. A store that has lost a call looks like one that has nothing to tell. All entries are woken by the same change and polled equally long, so that one outage met all of them and the relay between entries had nobody to ask.

net/feedschedule decides when to ask and when to give up: the operator's table is polled for 1 s at most and a call is given up 1.5 s later, then a look follows at once that is answered without waiting. So a change is known 2.5 s and one answer after an outage, whatever call it has met, below the 3 s after which the store counts as steady. Waits are drawn by each process, and grow with the number of entries to stay within the store's rate. The table of entries is polled for 5 s at most.

--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -9,8 +9,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
+#include <utility>
 
 using namespace Bluebellquay;
 using namespace Bluebellquay::Platform;
@@ -24,11 +26,13 @@
     StoreFixture()
         : store(context, timers, 1)
         , client(context, timers, {boost::asio::ip::address_v4::loopback(), store.port()})
-        , watch(client, timers, "op", [this](bool whole, const StoreRows &rows) {
+        , watch(client, timers, "op", FeedPace(), [this](bool whole, const StoreRows &rows) {
             if (const auto notice = evacuationRows.update(whole, rows))
                 evacuations.offer(*notice);
             for (const StoreRow &row : rows.rows)
                 values[row.key] = row.value;
+            if (atChange)
+                std::exchange(atChange, {})();
         })
     { }
 
@@ -46,6 +50,8 @@
     StoreClient client;
     TableWatch watch;
     std::map<std::string, std::string> values;
+    // Called once, with the next rows, before the watch makes its next call.
+    std::function<void()> atChange;
     EvacuationRows evacuationRows;
     Evacuations evacuations;
 };
@@ -163,7 +169,8 @@
     std::set<std::string> addresses;
     std::vector<std::string> written;
     EntryDirectory directory(
-        client, timers, [&](const EntryAddress &entry) { addresses.insert(entry.address); },
+        client, timers, FeedPace(),
+        [&](const EntryAddress &entry) { addresses.insert(entry.address); },
         [&](const EntryAddress &entry) { addresses.erase(entry.address); },
         [&](const EntryAddress &entry) { written.push_back(entry.address); });
     directory.start();
@@ -280,3 +287,23 @@
         CHECK(hear(10'200ms, 1, 7) == 2);
     }
 }
+
+// Guards against a configuration that is not known for 22 s: the silent store has lost the call
+// that was to bring it.
+TEST_CASE_METHOD(StoreFixture, "a change arrives soon after an outage that has met the call for it")
+{
+    // After the last answer, or after a further call that is not answered either.
+    const Duration outage = GENERATE(500ms, 3'500ms);
+    store.put("op", "config", "one");
+    atChange = [this] { store.setMode(Testing::StoreMode::Silent); };
+    watch.start();
+    until([&] { return values["config"] == "one"; });
+    const TimePoint end = timers.now() + outage;
+    until([&] { return timers.now() >= end; });
+    store.setMode(Testing::StoreMode::Serving);
+    store.put("op", "config", "two");
+    until([&] { return values["config"] == "two"; });
+    const Duration known = FeedPace().wait + FeedSchedule::AnswerTime;
+    CHECK(timers.now() - end < known + 250ms);
+    CHECK(watch.unanswered() > 0);
+}
