Call the run listing by its name, and drop a test that the play of phases has

The glossary had 'account' as an older word; no code uses it any more. 'a call that was given up is followed by another one at once' said what 'a change is known in time after an outage of each phase' plays.

--- a/source/core/runtracker.cpp
+++ b/source/core/runtracker.cpp
@@ -118,6 +118,7 @@
     const bool back = m_contacts.alive(now, home, at);
     if (back)
         m_reports.setInTouch(home, true);
+    // Orders may have waited for this contact.
     const bool ordersWait = !tracked().waiting().empty();
     if (ordersWait)
         startWaiting(now, out);
--- a/source/net/feedschedule.h
+++ b/source/net/feedschedule.h
@@ -47,6 +47,7 @@
     };
 
     Kind kind = Kind::ReadAll;
+    // When it is made.
     TimePoint at;
     // How long the store may wait for a change.
     Duration wait{0};
--- a/tests/dispatch/keyedsite.cpp
+++ b/tests/dispatch/keyedsite.cpp
@@ -253,15 +253,15 @@
     agent.worker->hold(
         agent.lastSeen, agent.fencingToken, wait,
         agent.tracker->mayRenewLease() ? newLease(index) : std::nullopt,
-        [this, index, life, slot, number](const RunListing &account, std::uint64_t lastEnd) {
+        [this, index, life, slot, number](const RunListing &listing, std::uint64_t lastEnd) {
             Agent &asker = *m_agents[index];
             if (!asker.up || asker.life != life)
                 return;
             asker.lastSeen = std::max(asker.lastSeen, lastEnd);
             driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
-                tracker.listingReceived(m_clock.now(), account, out);
+                tracker.listingReceived(m_clock.now(), listing, out);
             });
-            if (!account.ended.empty())
+            if (!listing.ended.empty())
                 reissueOvertaken(index, slot);
             if (asker.renewals[slot] == number) {
                 ++asker.renewals[slot];
@@ -292,13 +292,13 @@
 {
     Agent &agent = *m_agents[index];
     agent.worker->hold(agent.lastSeen, agent.fencingToken, Duration(0), std::nullopt,
-                       [this, index, life](const RunListing &account, std::uint64_t lastEnd) {
+                       [this, index, life](const RunListing &listing, std::uint64_t lastEnd) {
                            Agent &asker = *m_agents[index];
                            if (!asker.up || asker.life != life)
                                return;
                            asker.lastSeen = std::max(asker.lastSeen, lastEnd);
                            driveAgent(index, [&](RunTracker &tracker, RunOutbox &out) {
-                               tracker.listingReceived(m_clock.now(), account, out);
+                               tracker.listingReceived(m_clock.now(), listing, out);
                            });
                        });
 }
--- a/tests/dispatch/modelworker.cpp
+++ b/tests/dispatch/modelworker.cpp
@@ -221,14 +221,14 @@
 {
     for (const Waiting &waiting : std::exchange(m_holds, {})) {
         std::uint64_t lastEnd = 0;
-        const RunListing told = account(waiting, lastEnd);
+        const RunListing told = listing(waiting, lastEnd);
         std::uniform_int_distribution<Duration::rep> jitter(0, 4 * Way.count());
         m_clock.at(m_clock.now() + Way + Duration(jitter(m_random)),
                    [answer = waiting.answer, told, lastEnd] { answer(told, lastEnd); });
     }
 }
 
-RunListing ModelWorker::account(const Waiting &waiting, std::uint64_t &lastEnd) const
+RunListing ModelWorker::listing(const Waiting &waiting, std::uint64_t &lastEnd) const
 {
     RunListing told;
     told.worker = profile().identity;
--- a/tests/dispatch/modelworker.h
+++ b/tests/dispatch/modelworker.h
@@ -142,7 +142,7 @@
     void end(const RunKey &run, RunResult how);
     void renew(TimePoint until);
     void answerHolds();
-    RunListing account(const Waiting &waiting, std::uint64_t &lastEnd) const;
+    RunListing listing(const Waiting &waiting, std::uint64_t &lastEnd) const;
 
     VirtualClock &m_clock;
     std::mt19937_64 &m_random;
--- a/tests/net/feedscheduletest.cpp
+++ b/tests/net/feedscheduletest.cpp
@@ -265,16 +265,3 @@
     CHECK(schedule.call().kind == FeedCall::Kind::Look);
     CHECK(schedule.call().wait == 0us);
 }
-
-TEST_CASE("a call that was given up is followed by another one at once")
-{
-    std::mt19937_64 random(1);
-    FeedSchedule schedule(OperatorTablePace);
-    schedule.start(TimePoint(1s));
-    schedule.answered(TimePoint(1s), random);
-    for (int i = 0; i < 10; ++i) {
-        const TimePoint givenUp = schedule.call().at + schedule.call().timeout;
-        schedule.failed(givenUp, random);
-        CHECK(schedule.call().at == givenUp);
-    }
-}
--- a/tests/platform/documentstest.cpp
+++ b/tests/platform/documentstest.cpp
@@ -26,7 +26,7 @@
     R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","capacity":8,"state":"ready",)"
     R"("freeCapacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"born":1700000000000,)"
     R"("sequence":4})";
-const std::string Account =
+const std::string Listing =
     R"({"clockMs":482113,"born":17,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],)"
     R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",1,"lapsed",""]]})";
 
@@ -196,17 +196,17 @@
     CHECK_FALSE(decodeAnnouncement("i-1", state, reason));
 }
 
-TEST_CASE("a worker's account lists runs and ends; rows that can't be read are counted")
+TEST_CASE("a worker's run listing has runs and ends; rows that can't be read are counted")
 {
-    const auto account = decodeRunListing(Account);
-    REQUIRE(account);
-    REQUIRE(account->running.size() == 1);
-    CHECK(account->running[0] == RunKey{JobKey(0x5c0e7a21d94b36f8), 1, 17, RunNumber(2)});
-    REQUIRE(account->ended.size() == 2);
-    CHECK(account->ended[0].end == RunResult::Done);
-    CHECK(account->ended[1].end == RunResult::Lost);
-    CHECK(account->lastEnd == 59);
-    CHECK(account->unreadable == 0);
+    const auto listing = decodeRunListing(Listing);
+    REQUIRE(listing);
+    REQUIRE(listing->running.size() == 1);
+    CHECK(listing->running[0] == RunKey{JobKey(0x5c0e7a21d94b36f8), 1, 17, RunNumber(2)});
+    REQUIRE(listing->ended.size() == 2);
+    CHECK(listing->ended[0].end == RunResult::Done);
+    CHECK(listing->ended[1].end == RunResult::Lost);
+    CHECK(listing->lastEnd == 59);
+    CHECK(listing->unreadable == 0);
     const auto odd = decodeRunListing(
         R"({"born":1,"running":[["x",2],5],"ended":[[60,"5c0e7a21d94b36f8.0.1.8",1,"odd",""]]})");
     REQUIRE(odd);
@@ -274,7 +274,7 @@
 TEST_CASE("random bytes and changed documents are decoded or refused, whatever they are")
 {
     std::mt19937_64 random(20'261'204);
-    const std::string seeds[] = {JobBody, ConfigBody, Announcement, Account};
+    const std::string seeds[] = {JobBody, ConfigBody, Announcement, Listing};
     for (int i = 0; i < 20'000; ++i) {
         std::string text = mutate(seeds[random() % std::size(seeds)], random);
         if (i % 10 == 0) {
--- a/tests/standins/platformworker.cpp
+++ b/tests/standins/platformworker.cpp
@@ -298,12 +298,12 @@
 
 void PlatformWorker::answerHolds()
 {
-    const std::string body = account();
+    const std::string body = listing();
     for (const Hold &waiting : std::exchange(m_holds, {}))
         waiting.exchange->respond({200, body, {}});
 }
 
-std::string PlatformWorker::account() const
+std::string PlatformWorker::listing() const
 {
     nlohmann::json running = nlohmann::json::array();
     for (const auto &[id, run] : m_runs)
--- a/tests/standins/platformworker.h
+++ b/tests/standins/platformworker.h
@@ -149,7 +149,7 @@
     void end(const RunId &id, const std::string &how);
     Duration pick(Duration low, Duration high);
     void answerHolds();
-    std::string account() const;
+    std::string listing() const;
     void renew(std::uint64_t untilMs);
     std::uint64_t clockMs() const;
 
